Build, domain model and the contracts between the parts

The reactor has four modules: generated wire messages, the library with every decision, thin daemons, and tools. google-java-format, Google's checkstyle rules, Error Prone (warnings are errors) and the package arrows run in every build.

--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/model/AccountName.java
@@ -0,0 +1,29 @@
+package org.waxwingbeam.model;
+
+/**
+ * Names a client account, the party on whose behalf a caller sends requests.
+ *
+ * @param value lower-case letters, digits, dots and hyphens, at most {@value Names#MAX_LENGTH}
+ *     characters
+ * @since 0.1.0
+ */
+public record AccountName(String value) implements Comparable<AccountName> {
+  /**
+   * Checks the name.
+   *
+   * @throws InvalidNameException if the value is not a well-formed name
+   */
+  public AccountName {
+    Names.check("client account", value);
+  }
+
+  @Override
+  public int compareTo(AccountName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/model/InstanceName.java
@@ -0,0 +1,29 @@
+package org.waxwingbeam.model;
+
+/**
+ * Names an instance that runs one of the system's own processes.
+ *
+ * @param value lower-case letters, digits, dots and hyphens, at most {@value Names#MAX_LENGTH}
+ *     characters
+ * @since 0.1.0
+ */
+public record InstanceName(String value) implements Comparable<InstanceName> {
+  /**
+   * Checks the name.
+   *
+   * @throws InvalidNameException if the value is not a well-formed name
+   */
+  public InstanceName {
+    Names.check("instance", value);
+  }
+
+  @Override
+  public int compareTo(InstanceName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/model/ServiceName.java
@@ -0,0 +1,29 @@
+package org.waxwingbeam.model;
+
+/**
+ * Names a service: a group of targets that answer the same requests.
+ *
+ * @param value lower-case letters, digits, dots and hyphens, at most {@value Names#MAX_LENGTH}
+ *     characters
+ * @since 0.1.0
+ */
+public record ServiceName(String value) implements Comparable<ServiceName> {
+  /**
+   * Checks the name.
+   *
+   * @throws InvalidNameException if the value is not a well-formed name
+   */
+  public ServiceName {
+    Names.check("service", value);
+  }
+
+  @Override
+  public int compareTo(ServiceName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -0,0 +1,17 @@
+package org.waxwingbeam.tools;
+
+import java.util.List;
+import org.waxwingbeam.daemon.CommandTable;
+import org.waxwingbeam.daemon.ExitCode;
+
+/** Starts the program with every command: the shipped daemons' and the tools'. */
+public final class Main {
+  private Main() {}
+
+  /** Runs the command line and exits with its code. */
+  public static void main(String[] arguments) throws Exception {
+    CommandTable table = new CommandTable("waxwingbeam", List.of());
+    ExitCode code = table.run(List.of(arguments), System.out, System.err);
+    System.exit(code.value());
+  }
+}
