--- a/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/CommandTableTest.java
+++ b/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/CommandTableTest.java
@@ -17,6 +17,7 @@
     ExitCode code = table.run(List.of("entr"), System.out, new PrintStream(err, true, UTF_8));
 
     assertThat(code).isEqualTo(ExitCode.USAGE);
-    assertThat(err.toString(UTF_8)).isEqualTo("waxwingbeam: unknown command 'entr'; expected one of \n");
+    assertThat(err.toString(UTF_8))
+        .isEqualTo("waxwingbeam: unknown command 'entr'; expected one of \n");
   }
 }
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/AppliedConfiguration.java
@@ -0,0 +1,35 @@
+package org.waxwingbeam.control;
+
+import java.util.concurrent.atomic.AtomicReference;
+import org.waxwingbeam.model.Configuration;
+
+/**
+ * Holds the configuration that an entry instance applies. It never goes back to an older one.
+ *
+ * <pre>{@code
+ * AppliedConfiguration applied = new AppliedConfiguration();
+ * applied.applyIfNewer(received);
+ * Configuration configuration = applied.current();
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+public final class AppliedConfiguration {
+  private final AtomicReference<Configuration> current = new AtomicReference<>(Configuration.EMPTY);
+
+  /** Returns the newest configuration that was applied. */
+  public Configuration current() {
+    return current.get();
+  }
+
+  /**
+   * Applies a configuration unless it is older than, or the same as, the current one.
+   *
+   * @return whether it was applied
+   */
+  public boolean applyIfNewer(Configuration configuration) {
+    Configuration before =
+        current.getAndUpdate(old -> configuration.number() > old.number() ? configuration : old);
+    return configuration.number() > before.number();
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/package-info.java
@@ -0,0 +1,2 @@
+/** Holds what an entry instance learns from the control replicas. */
+package org.waxwingbeam.control;
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/Endpoint.java
@@ -0,0 +1,35 @@
+package org.waxwingbeam.settings;
+
+import java.net.InetSocketAddress;
+
+/**
+ * An IP address and port, to listen on or to connect to.
+ *
+ * @param host an IP address
+ * @param port 0 to 65,535; 0 lets the system choose a port to listen on
+ * @since 0.1.0
+ */
+public record Endpoint(String host, int port) {
+  private static final int MAX_PORT = 65_535;
+
+  /**
+   * Checks the port.
+   *
+   * @throws IllegalArgumentException if the port is out of range
+   */
+  public Endpoint {
+    if (port < 0 || port > MAX_PORT) {
+      throw new IllegalArgumentException("port %d: expected 0 to %d".formatted(port, MAX_PORT));
+    }
+  }
+
+  /** Returns the address in the form that Netty takes. */
+  public InetSocketAddress socketAddress() {
+    return new InetSocketAddress(host, port);
+  }
+
+  @Override
+  public String toString() {
+    return host + ":" + port;
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Holds the settings of each daemon. */
+package org.waxwingbeam.settings;
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Runs measurements and checks their bounds. */
+package org.waxwingbeam.tools.measure;
