--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/TargetRegistry.java
@@ -0,0 +1,164 @@
+package org.waxwingbeam.target;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.waxwingbeam.model.ServiceName;
+import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.target.TargetAnnouncement.State;
+
+/**
+ * Knows the targets of every service from their announcements.
+ *
+ * <p>An announcement holds for its time to live. One with a lower boot id never replaces one with a
+ * higher boot id, and a target that has begun to drain stays draining until its next start.
+ *
+ * <p>Lists of targets are read without a lock. Changes take the registry's lock, which is held for
+ * the change alone and within which no other lock is taken.
+ *
+ * <pre>{@code
+ * TargetRegistry registry = new TargetRegistry();
+ * registry.announce(now, announcement);
+ * List<TargetAnnouncement> targets = registry.targets(service);
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+public final class TargetRegistry {
+  /** How long the boot id of a target that is gone is remembered. */
+  private static final long BOOT_ID_RETENTION_NANOS = TimeUnit.MINUTES.toNanos(10);
+
+  private final Map<TargetId, Entry> entries = new HashMap<>();
+  private final Map<ServiceName, SortedMap<TargetId, TargetAnnouncement>> live = new HashMap<>();
+  private final Map<ServiceName, List<TargetAnnouncement>> byService = new ConcurrentHashMap<>();
+
+  /**
+   * Takes an announcement.
+   *
+   * @param nowNanos the entry's monotonic clock
+   * @param announcement what the target says
+   * @return what became of it
+   */
+  public synchronized Result announce(long nowNanos, TargetAnnouncement announcement) {
+    Entry known = entries.get(announcement.target());
+    if (known != null && announcement.bootId() < known.announcement.bootId()) {
+      return new Result.Outdated(known.announcement.bootId());
+    }
+    TargetAnnouncement effective = keepDraining(known, announcement);
+    long expiryNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(announcement.timeToLiveMs());
+    entries.put(effective.target(), new Entry(effective, expiryNanos, true));
+    if (known != null && known.live && known.announcement.equals(effective)) {
+      return new Result.Renewed();
+    }
+    if (known != null && !known.announcement.service().equals(effective.service())) {
+      withdraw(known.announcement);
+    }
+    live.computeIfAbsent(effective.service(), name -> new TreeMap<>())
+        .put(effective.target(), effective);
+    publish(effective.service());
+    return new Result.Changed(effective);
+  }
+
+  /**
+   * Removes the targets whose announcements were not repeated in time.
+   *
+   * @param nowNanos the entry's monotonic clock
+   * @return the targets that were removed, in the order of their addresses
+   */
+  public synchronized List<TargetAnnouncement> expire(long nowNanos) {
+    entries
+        .values()
+        .removeIf(each -> !each.live && nowNanos - each.expiryNanos > BOOT_ID_RETENTION_NANOS);
+    List<TargetAnnouncement> expired =
+        entries.values().stream()
+            .filter(each -> each.live && nowNanos - each.expiryNanos >= 0)
+            .map(Entry::announcement)
+            .sorted(Comparator.comparing(TargetAnnouncement::target))
+            .toList();
+    expired.forEach(this::remove);
+    return expired;
+  }
+
+  /**
+   * Returns the targets of a service in the order of their addresses. The list is the same object
+   * until one of them changes.
+   */
+  public List<TargetAnnouncement> targets(ServiceName service) {
+    return byService.getOrDefault(service, List.of());
+  }
+
+  /** Returns the services that have a target, in the order of their names. */
+  public List<ServiceName> services() {
+    return byService.keySet().stream().sorted().toList();
+  }
+
+  /** Returns the target with an address. */
+  public synchronized Optional<TargetAnnouncement> find(TargetId target) {
+    return Optional.ofNullable(entries.get(target)).filter(Entry::live).map(Entry::announcement);
+  }
+
+  private static TargetAnnouncement keepDraining(Entry known, TargetAnnouncement announcement) {
+    boolean draining =
+        known != null
+            && known.announcement.bootId() == announcement.bootId()
+            && known.announcement.state() == State.DRAINING;
+    return draining ? announcement.withState(State.DRAINING) : announcement;
+  }
+
+  private void remove(TargetAnnouncement gone) {
+    entries.computeIfPresent(
+        gone.target(), (target, entry) -> new Entry(gone, entry.expiryNanos, false));
+    withdraw(gone);
+  }
+
+  private void withdraw(TargetAnnouncement gone) {
+    SortedMap<TargetId, TargetAnnouncement> targets = live.get(gone.service());
+    if (targets != null) {
+      targets.remove(gone.target());
+      publish(gone.service());
+    }
+  }
+
+  private void publish(ServiceName service) {
+    SortedMap<TargetId, TargetAnnouncement> targets = live.get(service);
+    if (targets.isEmpty()) {
+      live.remove(service);
+      byService.remove(service);
+    } else {
+      byService.put(service, List.copyOf(targets.values()));
+    }
+  }
+
+  /**
+   * Tells what became of an announcement.
+   *
+   * @since 0.1.0
+   */
+  public sealed interface Result {
+    /**
+     * It told something new.
+     *
+     * @param effective what is now known of the target
+     */
+    record Changed(TargetAnnouncement effective) implements Result {}
+
+    /** It repeated what was known. */
+    record Renewed() implements Result {}
+
+    /**
+     * It came from an earlier start of the target than the one that is known.
+     *
+     * @param knownBootId the boot id that is known
+     */
+    record Outdated(long knownBootId) implements Result {}
+  }
+
+  /** The latest announcement of a target; no longer live once it has expired. */
+  private record Entry(TargetAnnouncement announcement, long expiryNanos, boolean live) {}
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/package-info.java
@@ -0,0 +1,2 @@
+/** Connects to targets and takes their announcements. */
+package org.waxwingbeam.target.net;
