--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Attempt.java
@@ -0,0 +1,44 @@
+package org.waxwingbeam.target;
+
+import java.util.Optional;
+import org.waxwingbeam.model.VersionName;
+
+/** One attempt at a request, from its arrival until it is refused or completed. */
+final class Attempt {
+  private final DispatchRequest request;
+  private final Optional<VersionName> version;
+  private final ServiceDispatcher dispatcher;
+  private TargetState target;
+
+  /**
+   * Creates an attempt that has no target yet.
+   *
+   * @param version the version that must serve it, or empty if any may
+   */
+  Attempt(DispatchRequest request, Optional<VersionName> version, ServiceDispatcher dispatcher) {
+    this.request = request;
+    this.version = version;
+    this.dispatcher = dispatcher;
+  }
+
+  DispatchRequest request() {
+    return request;
+  }
+
+  Optional<VersionName> version() {
+    return version;
+  }
+
+  ServiceDispatcher dispatcher() {
+    return dispatcher;
+  }
+
+  /** Returns the target whose place the attempt holds, or empty while it waits. */
+  Optional<TargetState> target() {
+    return Optional.ofNullable(target);
+  }
+
+  void bind(TargetState chosen) {
+    target = chosen;
+  }
+}
