Changes of the configuration: model, checks and codec

Purpose: the control replicas and the entry instances must come to the same configuration from the same changes, so one pure function decides on each.

ChangeCodec and ConfigurationCodec turn both into wire messages and back; a malformed message is reported with every fault. MoveVersion carries the present version for a service's first move, since nothing else names it then.

Ruled out: a check of data centre names against a list. The configuration knows none and the entry view is not part of the accepted state, so a check there would differ between replicas; the operate command compares with the status instead.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/model/InvalidNameException.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/model/InvalidNameException.java
@@ -6,6 +6,11 @@
  * @since 0.1.0
  */
 public final class InvalidNameException extends IllegalArgumentException {
+  /** Describes the form of every name. */
+  public static final String EXPECTED =
+      "1 to %d lower-case letters, digits, dots or hyphens, starting with a letter or digit"
+          .formatted(Names.MAX_LENGTH);
+
   private static final long serialVersionUID = 1L;
 
   private final String kind;
@@ -18,10 +23,7 @@
    * @param value the offending value
    */
   public InvalidNameException(String kind, String value) {
-    super(
-        "%s name '%s': expected 1 to %d lower-case letters, digits, dots or hyphens,"
-                .formatted(kind, value, Names.MAX_LENGTH)
-            + " starting with a letter or digit");
+    super("%s name '%s': expected %s".formatted(kind, value, EXPECTED));
     this.kind = kind;
     this.value = value;
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/model/Template.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/model/Template.java
@@ -23,4 +23,9 @@
   public Template {
     routes = List.copyOf(routes);
   }
+
+  /** Returns a copy with other parameters. */
+  public Template withParameters(Parameters replacement) {
+    return new Template(name, service, hostPattern, routes, replacement);
+  }
 }
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/operator/ChangeCodec.java
@@ -0,0 +1,136 @@
+package org.waxwingbeam.operator;
+
+import java.util.Optional;
+import org.waxwingbeam.model.AccountName;
+import org.waxwingbeam.model.DataCentreName;
+import org.waxwingbeam.model.ServiceName;
+import org.waxwingbeam.model.TemplateName;
+import org.waxwingbeam.model.VersionName;
+import org.waxwingbeam.wire.operator.AdvanceMove;
+import org.waxwingbeam.wire.operator.MoveVersion;
+import org.waxwingbeam.wire.operator.RollBackMove;
+
+/**
+ * Turns changes into wire messages and back.
+ *
+ * @since 0.1.0
+ */
+public final class ChangeCodec {
+  private ChangeCodec() {}
+
+  /** Returns the wire message for a change. */
+  public static org.waxwingbeam.wire.operator.Change encode(Change change) {
+    var message = org.waxwingbeam.wire.operator.Change.newBuilder();
+    switch (change) {
+      case Change.PutTemplate put ->
+          message.setPutTemplate(ConfigurationCodec.encode(put.template()));
+      case Change.RemoveTemplate remove -> message.setRemoveTemplate(remove.template().value());
+      case Change.PutAccount put -> message.setPutAccount(ConfigurationCodec.encode(put.account()));
+      case Change.RemoveAccount remove -> message.setRemoveAccount(remove.account().value());
+      case Change.TakeDataCentreOut out -> message.setTakeDataCentreOut(out.dataCentre().value());
+      case Change.BringDataCentreIn in -> message.setBringDataCentreIn(in.dataCentre().value());
+      case Change.MoveVersion move -> message.setMoveVersion(encode(move));
+      case Change.AdvanceMove advance -> message.setAdvanceMove(encode(advance));
+      case Change.RollBackMove back -> message.setRollBackMove(encode(back));
+    }
+    return message.build();
+  }
+
+  private static MoveVersion encode(Change.MoveVersion move) {
+    return MoveVersion.newBuilder()
+        .setService(move.service().value())
+        .setFrom(move.from().map(VersionName::value).orElse(""))
+        .setTo(move.to().value())
+        .setDeadlineMs(move.deadlineMs())
+        .build();
+  }
+
+  private static AdvanceMove encode(Change.AdvanceMove advance) {
+    return AdvanceMove.newBuilder()
+        .setService(advance.service().value())
+        .setTo(advance.to().value())
+        .setSharePerMille(advance.sharePerMille())
+        .setState(ConfigurationCodec.encode(advance.state()))
+        .build();
+  }
+
+  private static RollBackMove encode(Change.RollBackMove back) {
+    return RollBackMove.newBuilder()
+        .setService(back.service().value())
+        .setReason(back.reason())
+        .build();
+  }
+
+  /**
+   * Returns the change that a wire message stands for.
+   *
+   * @throws MalformedMessageException if a name, parameter or state in it is not valid, or if it
+   *     states no change
+   */
+  public static Change decode(org.waxwingbeam.wire.operator.Change message)
+      throws MalformedMessageException {
+    WireReader reader = new WireReader();
+    return reader.finish(decode(reader, message));
+  }
+
+  private static Optional<Change> decode(
+      WireReader reader, org.waxwingbeam.wire.operator.Change message) {
+    return switch (message.getKindCase()) {
+      case PUT_TEMPLATE -> reader.template(message.getPutTemplate()).map(Change.PutTemplate::new);
+      case REMOVE_TEMPLATE ->
+          reader
+              .name(TemplateName::new, message.getRemoveTemplate())
+              .map(Change.RemoveTemplate::new);
+      case PUT_ACCOUNT -> reader.account(message.getPutAccount()).map(Change.PutAccount::new);
+      case REMOVE_ACCOUNT ->
+          reader.name(AccountName::new, message.getRemoveAccount()).map(Change.RemoveAccount::new);
+      case TAKE_DATA_CENTRE_OUT ->
+          reader
+              .name(DataCentreName::new, message.getTakeDataCentreOut())
+              .map(Change.TakeDataCentreOut::new);
+      case BRING_DATA_CENTRE_IN ->
+          reader
+              .name(DataCentreName::new, message.getBringDataCentreIn())
+              .map(Change.BringDataCentreIn::new);
+      case MOVE_VERSION -> moveVersion(reader, message.getMoveVersion());
+      case ADVANCE_MOVE -> advanceMove(reader, message.getAdvanceMove());
+      case ROLL_BACK_MOVE -> rollBackMove(reader, message.getRollBackMove());
+      case KIND_NOT_SET -> {
+        reader.add(new Fault("change", "", "one of the kinds of change"));
+        yield Optional.empty();
+      }
+    };
+  }
+
+  private static Optional<Change> moveVersion(WireReader reader, MoveVersion message) {
+    Optional<ServiceName> service = reader.name(ServiceName::new, message.getService());
+    Optional<VersionName> to = reader.name(VersionName::new, message.getTo());
+    Optional<VersionName> from =
+        message.getFrom().isEmpty()
+            ? Optional.empty()
+            : reader.name(VersionName::new, message.getFrom());
+    return service.flatMap(
+        name ->
+            to.map(
+                version -> new Change.MoveVersion(name, from, version, message.getDeadlineMs())));
+  }
+
+  private static Optional<Change> advanceMove(WireReader reader, AdvanceMove message) {
+    Optional<ServiceName> service = reader.name(ServiceName::new, message.getService());
+    Optional<VersionName> to = reader.name(VersionName::new, message.getTo());
+    int share = message.getSharePerMille();
+    return reader
+        .state(message.getState())
+        .flatMap(
+            state ->
+                service.flatMap(
+                    name ->
+                        to.map(version -> new Change.AdvanceMove(name, version, share, state))));
+  }
+
+  private static Optional<Change> rollBackMove(WireReader reader, RollBackMove message) {
+    return reader
+        .name(ServiceName::new, message.getService())
+        .map(service -> new Change.RollBackMove(service, message.getReason()));
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/operator/package-info.java
@@ -0,0 +1,2 @@
+/** Decides on the changes that operators make to the configuration. */
+package org.waxwingbeam.operator;
