measure capacity: slopes of configuration and announcements, and the control plan at the target size

A first cut: heap, encoded bytes and time to apply by services; heap and time to repeat by targets; bytes a second of leader and relays.

--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -4,14 +4,18 @@
 import org.waxwingbeam.daemon.CommandTable;
 import org.waxwingbeam.daemon.ExitCode;
 import org.waxwingbeam.tools.measure.MeasureCommand;
+import org.waxwingbeam.tools.measure.Measurement;
+import org.waxwingbeam.tools.measure.capacity.CapacityMeasurement;
 
 /** Starts the program with every command: the shipped daemons' and the tools'. */
 public final class Main {
+  private static final List<Measurement> MEASUREMENTS = List.of(new CapacityMeasurement());
+
   private Main() {}
 
   /** Runs the command line and exits with its code. */
   public static void main(String[] arguments) throws Exception {
-    CommandTable table = new CommandTable("waxwingbeam", List.of(new MeasureCommand(List.of())));
+    CommandTable table = new CommandTable("waxwingbeam", List.of(new MeasureCommand(MEASUREMENTS)));
     ExitCode code = table.run(List.of(arguments), System.out, System.err);
     System.exit(code.value());
   }
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/capacity/CapacityMeasurement.java
@@ -0,0 +1,101 @@
+package org.waxwingbeam.tools.measure.capacity;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import org.waxwingbeam.tools.measure.Measurement;
+import org.waxwingbeam.tools.measure.MeasurementOptions;
+import org.waxwingbeam.tools.measure.MeasurementReport;
+import org.waxwingbeam.tools.measure.MeasurementReport.Bound;
+import org.waxwingbeam.tools.measure.MeasurementReport.Limit;
+import org.waxwingbeam.tools.measure.MeasurementReport.Table;
+
+/**
+ * Measures slopes at several sizes and works out each role's cost at the target size.
+ *
+ * @since 0.1.0
+ */
+public final class CapacityMeasurement implements Measurement {
+  private static final double MICROS_PER_S = 1e6;
+
+  @Override
+  public String name() {
+    return "capacity";
+  }
+
+  @Override
+  public String summary() {
+    return "slopes of state, messages and processor time, and the target size";
+  }
+
+  @Override
+  public MeasurementReport run(MeasurementOptions options) {
+    ConfigurationCost configuration = new ConfigurationCost();
+    AnnouncementCost announcements = new AnnouncementCost();
+    Slope encoded = configuration.encodedBytes();
+    Slope heap = configuration.heapBytes();
+    Slope apply = configuration.applyMicros();
+    Slope targetHeap = announcements.heapBytes();
+    Slope repeat = announcements.repeatMicros();
+    List<Slope> byServices = List.of(encoded, heap, apply);
+    List<Slope> byTargets = List.of(targetHeap, repeat);
+    ControlPlan plan = new ControlPlan(ConfigurationCost.changeBytes());
+    return new MeasurementReport(
+        List.of(
+            slopes("Slopes by services", byServices, TargetSize.SERVICES),
+            slopes("Slopes by targets", byTargets, TargetSize.TARGETS),
+            controlTable(plan)),
+        bounds(plan, heap, apply));
+  }
+
+  private static Table slopes(String title, List<Slope> slopes, int targetSize) {
+    return new Table(
+        title + ", and the value at " + targetSize,
+        List.of("cost", "measured (size: cost)", "slope", "at " + targetSize),
+        slopes.stream().map(slope -> row(slope, targetSize)).toList());
+  }
+
+  private static List<String> row(Slope slope, int targetSize) {
+    String points =
+        slope.points().stream()
+            .map(point -> "%.0f: %s".formatted(point.size(), number(point.cost())))
+            .collect(Collectors.joining(", "));
+    return List.of(slope.what(), points, number(slope.perUnit()), number(slope.at(targetSize)));
+  }
+
+  private static Table controlTable(ControlPlan plan) {
+    return new Table(
+        "Control daemons at the target size",
+        List.of("quantity", "value"),
+        List.of(
+            List.of("changes a second", number(TargetSize.CHANGES_PER_S)),
+            List.of("bytes of one change", number(plan.changeBytes())),
+            List.of("entry instances", number(TargetSize.ENTRIES)),
+            List.of("entry instances in a data centre", number(TargetSize.ENTRIES_PER_DATA_CENTRE)),
+            List.of("leader, bytes/s", number(plan.leaderBytesPerS())),
+            List.of("relay, bytes/s", number(plan.relayBytesPerS())),
+            List.of("leader without relays, bytes/s", number(plan.unrelayedLeaderBytesPerS())),
+            List.of("control instances", number(plan.instances()))));
+  }
+
+  private static List<Bound> bounds(ControlPlan plan, Slope heap, Slope apply) {
+    double coreShare = TargetSize.CHANGES_PER_S * apply.at(TargetSize.SERVICES) / MICROS_PER_S;
+    return List.of(
+        atMost(
+            "control, configuration on the heap, bytes",
+            heap.at(TargetSize.SERVICES),
+            TargetSize.CONTROL_MEMORY_BYTES),
+        atMost(
+            "control, share of a core to apply changes", coreShare, TargetSize.CONTROL_CORE_SHARE),
+        atMost("leader, bytes/s", plan.leaderBytesPerS(), TargetSize.CONTROL_BYTES_PER_S),
+        atMost("relay, bytes/s", plan.relayBytesPerS(), TargetSize.CONTROL_BYTES_PER_S),
+        atMost("control instances", plan.instances(), TargetSize.CONTROL_INSTANCES));
+  }
+
+  private static Bound atMost(String what, double seen, double stated) {
+    return new Bound(what, seen, Limit.AT_MOST, stated);
+  }
+
+  private static String number(double value) {
+    return Math.abs(value) >= 100 ? "%.0f".formatted(value) : "%.3g".formatted(value);
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/capacity/Slope.java
@@ -0,0 +1,45 @@
+package org.waxwingbeam.tools.measure.capacity;
+
+import java.util.List;
+
+/**
+ * A straight line fitted by least squares to a cost measured at several sizes.
+ *
+ * @param what the cost and its unit, by what it grows with
+ * @param points the measured sizes and costs, in the order of size
+ * @param perUnit cost of one more unit of size
+ * @param constant cost at size 0
+ */
+record Slope(String what, List<Point> points, double perUnit, double constant) {
+  private static final int LEAST_POINTS = 3;
+
+  /** A cost measured at one size. */
+  record Point(double size, double cost) {}
+
+  /**
+   * Fits the line.
+   *
+   * @throws IllegalArgumentException if there are fewer than three points
+   */
+  static Slope fit(String what, List<Point> points) {
+    if (points.size() < LEAST_POINTS) {
+      throw new IllegalArgumentException(
+          "%s: %d points; expected at least %d".formatted(what, points.size(), LEAST_POINTS));
+    }
+    double meanSize = points.stream().mapToDouble(Point::size).average().orElseThrow();
+    double meanCost = points.stream().mapToDouble(Point::cost).average().orElseThrow();
+    double covariance =
+        points.stream()
+            .mapToDouble(point -> (point.size() - meanSize) * (point.cost() - meanCost))
+            .sum();
+    double variance =
+        points.stream().mapToDouble(point -> Math.pow(point.size() - meanSize, 2)).sum();
+    double perUnit = covariance / variance;
+    return new Slope(what, List.copyOf(points), perUnit, meanCost - perUnit * meanSize);
+  }
+
+  /** Returns the cost that the line gives for a size. */
+  double at(double size) {
+    return constant + perUnit * size;
+  }
+}
