Control replica: accepted changes, the entries' stream with leases, and the operators' interface

Purpose: the control side of the whole path. A change that an operator posts is checked and applied by a deterministic state (ReplicatedState), streamed to connected entry instances as a numbered change (a whole configuration only where the change is no longer kept), confirmed by them, and reported as in force once every live entry instance has confirmed it or its lease has run out.

- Change ids keep their first answer; another body under the same id is refused.
- An entry counts its lease from when it sent the heartbeat, the replica from when it received it (plus a margin for drift), so the replica never gives up an entry before the entry knows.
Only members of the logged view get leases.
- A view may be used strictly once every live entry has confirmed it.

--- /dev/null
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/TokenFile.java
@@ -0,0 +1,27 @@
+package org.waxwingbeam.daemon.control;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** Reads a credential from a file. */
+final class TokenFile {
+  private static final int MIN_LENGTH = 16;
+
+  private TokenFile() {}
+
+  /**
+   * Returns the credential without white space around it.
+   *
+   * @throws IOException if the file cannot be read or its credential is too short
+   */
+  static String read(Path file) throws IOException {
+    String token = Files.readString(file).strip();
+    if (token.length() < MIN_LENGTH) {
+      throw new IOException(
+          "token file %s: expected at least %d characters, found %d"
+              .formatted(file, MIN_LENGTH, token.length()));
+    }
+    return token;
+  }
+}
--- /dev/null
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/package-info.java
@@ -0,0 +1,2 @@
+/** The control daemon. */
+package org.waxwingbeam.daemon.control;
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/EntrySessions.java
@@ -0,0 +1,257 @@
+package org.waxwingbeam.control;
+
+import com.google.protobuf.ByteString;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.waxwingbeam.replica.CommandLog;
+import org.waxwingbeam.replica.CommandResult;
+import org.waxwingbeam.replica.ProposalOutcome;
+import org.waxwingbeam.replica.ReplicatedState;
+import org.waxwingbeam.wire.control.AcceptedChange;
+import org.waxwingbeam.wire.control.ClaimCall;
+import org.waxwingbeam.wire.control.ClaimReply;
+import org.waxwingbeam.wire.control.ControlMessage;
+import org.waxwingbeam.wire.control.EntryHello;
+import org.waxwingbeam.wire.control.EntryMember;
+import org.waxwingbeam.wire.control.EntryMessage;
+import org.waxwingbeam.wire.control.EntryView;
+import org.waxwingbeam.wire.control.Heartbeat;
+import org.waxwingbeam.wire.control.Lease;
+import org.waxwingbeam.wire.control.NotLeader;
+import org.waxwingbeam.wire.replica.ChangeEntryView;
+import org.waxwingbeam.wire.replica.ClaimBatch;
+import org.waxwingbeam.wire.replica.Command;
+
+/**
+ * Serves connected entry instances at a control replica: sends accepted changes and entry views,
+ * answers heartbeats with leases and passes claims to the log.
+ *
+ * <pre>{@code
+ * EntrySessions sessions = new EntrySessions(state, log, registry, token, redirect, wallMs);
+ * EntrySessions.Session session = sessions.open(connection);
+ * session.receive(System.nanoTime(), message);
+ * sessions.publish();
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+public final class EntrySessions {
+  private final ReplicatedState state;
+  private final CommandLog log;
+  private final EntryRegistry registry;
+  private final byte[] token;
+  private final Supplier<NotLeader> redirect;
+  private final LongSupplier wallMs;
+  private final Set<Session> sessions = new LinkedHashSet<>();
+  private boolean viewChangeProposed;
+
+  /**
+   * Creates the service.
+   *
+   * @param state what the log has brought about
+   * @param log takes claims and changes of the entry view
+   * @param registry tracks the entry instances while this replica leads
+   * @param token the credential of the system's own processes
+   * @param redirect says where the leader is, while this replica does not lead
+   * @param wallMs the present time in milliseconds since the epoch
+   */
+  public EntrySessions(
+      ReplicatedState state,
+      CommandLog log,
+      EntryRegistry registry,
+      String token,
+      Supplier<NotLeader> redirect,
+      LongSupplier wallMs) {
+    this.state = state;
+    this.log = log;
+    this.registry = registry;
+    this.token = token.getBytes(StandardCharsets.UTF_8);
+    this.redirect = redirect;
+    this.wallMs = wallMs;
+  }
+
+  /** The connection of one entry instance. */
+  public interface Connection {
+    /** Sends a message. */
+    void send(ControlMessage message);
+
+    /** Closes the connection after what was sent. */
+    void close();
+  }
+
+  /** Begins to serve a connection. Its first message must be a hello with the right token. */
+  public Session open(Connection connection) {
+    return new Session(connection);
+  }
+
+  /** Sends every accepted change and entry view to the sessions that lack it. */
+  public void publish() {
+    sessions.forEach(Session::catchUp);
+  }
+
+  /**
+   * Proposes the change of the entry view that heartbeats and their absence call for.
+   *
+   * @param nowNanos the present time
+   */
+  public void tick(long nowNanos) {
+    if (!log.holdsLease(nowNanos)) {
+      List.copyOf(sessions).forEach(Session::redirect);
+      return;
+    }
+    ChangeEntryView change = registry.viewChange(nowNanos, state.view());
+    boolean needed = change.getPutCount() + change.getRemoveCount() > 0;
+    if (needed && !viewChangeProposed) {
+      viewChangeProposed = true;
+      log.propose(
+          Command.newBuilder().setChangeEntryView(change).build(),
+          outcome -> viewChangeProposed = false);
+    }
+    registry.expire(nowNanos);
+  }
+
+  /** Returns how many entry instances are connected. */
+  public int connected() {
+    return sessions.size();
+  }
+
+  private boolean isInView(EntryMember member) {
+    return state.view().getMembersList().contains(member);
+  }
+
+  /** Serves one connected entry instance. */
+  public final class Session {
+    private final Connection connection;
+    private EntryMember member = EntryMember.getDefaultInstance();
+    private boolean authenticated;
+    private long sentNumber;
+    private long sentView;
+
+    private Session(Connection connection) {
+      this.connection = connection;
+    }
+
+    /**
+     * Handles a message.
+     *
+     * @param nowNanos when it was received
+     */
+    public void receive(long nowNanos, EntryMessage message) {
+      if (!authenticated && !message.hasHello()) {
+        connection.close();
+        return;
+      }
+      switch (message.getKindCase()) {
+        case HELLO -> greet(nowNanos, message.getHello());
+        case HEARTBEAT -> renew(nowNanos, message.getHeartbeat());
+        case CLAIM -> claim(message.getClaim());
+        default -> connection.close();
+      }
+    }
+
+    /** Forgets the session after its connection was closed. */
+    public void closed() {
+      sessions.remove(this);
+    }
+
+    private void greet(long nowNanos, EntryHello hello) {
+      if (!MessageDigest.isEqual(token, hello.getToken().getBytes(StandardCharsets.UTF_8))) {
+        connection.close();
+        return;
+      }
+      authenticated = true;
+      member = hello.getMember();
+      sentNumber = hello.getAppliedNumber();
+      sentView = hello.getViewNumber();
+      if (!log.holdsLease(nowNanos)) {
+        redirect();
+        return;
+      }
+      sessions.add(this);
+      registry.heard(nowNanos, member, sentNumber, sentView);
+      tick(nowNanos);
+      catchUp();
+    }
+
+    private void renew(long nowNanos, Heartbeat beat) {
+      if (!log.holdsLease(nowNanos)) {
+        redirect();
+        return;
+      }
+      registry.heard(nowNanos, member, beat.getAppliedNumber(), beat.getViewNumber());
+      tick(nowNanos);
+      if (isInView(member)) {
+        send(ControlMessage.newBuilder().setLease(lease(nowNanos, beat)));
+      }
+    }
+
+    private Lease lease(long nowNanos, Heartbeat beat) {
+      long viewNumber = state.view().getNumber();
+      return Lease.newBuilder()
+          .setSequence(beat.getSequence())
+          .setDurationMs((int) EntryRegistry.LEASE_MS)
+          .setNewestNumber(state.configuration().number())
+          .setViewNumber(viewNumber)
+          .setSettledViewNumber(registry.settledView(nowNanos, viewNumber))
+          .build();
+    }
+
+    private void claim(ClaimCall call) {
+      ClaimBatch batch =
+          ClaimBatch.newBuilder()
+              .addCommands(call.getCommand())
+              .setProposedMs(wallMs.getAsLong())
+              .build();
+      log.propose(
+          Command.newBuilder().setClaims(batch).build(),
+          outcome -> answerClaim(call.getSequence(), outcome));
+    }
+
+    private void answerClaim(long sequence, ProposalOutcome outcome) {
+      ClaimReply.Builder reply = ClaimReply.newBuilder().setSequence(sequence);
+      if (outcome instanceof ProposalOutcome.Applied(CommandResult.Claims claims)) {
+        ByteString answer = claims.answers().getFirst();
+        reply.setApplied(true).setAnswer(answer);
+      }
+      send(ControlMessage.newBuilder().setClaim(reply));
+    }
+
+    private void redirect() {
+      send(ControlMessage.newBuilder().setNotLeader(redirect.get()));
+      sessions.remove(this);
+      connection.close();
+    }
+
+    private void catchUp() {
+      sendConfiguration();
+      EntryView view = state.view();
+      if (view.getNumber() > sentView) {
+        send(ControlMessage.newBuilder().setView(view));
+        sentView = view.getNumber();
+      }
+    }
+
+    private void sendConfiguration() {
+      long newest = state.configuration().number();
+      if (newest <= sentNumber) {
+        return;
+      }
+      List<AcceptedChange> changes = new ArrayList<>(state.changesAfter(sentNumber));
+      if (changes.isEmpty()) {
+        send(ControlMessage.newBuilder().setConfiguration(state.configurationMessage()));
+      }
+      changes.forEach(change -> send(ControlMessage.newBuilder().setChange(change)));
+      sentNumber = newest;
+    }
+
+    private void send(ControlMessage.Builder message) {
+      connection.send(message.build());
+    }
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/package-info.java
@@ -0,0 +1,2 @@
+/** Connects entry instances to control replicas. */
+package org.waxwingbeam.control.net;
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/operator/net/OperatorOperations.java
@@ -0,0 +1,37 @@
+package org.waxwingbeam.operator.net;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.waxwingbeam.operator.OperatorService.ChangeOutcome;
+import org.waxwingbeam.wire.configuration.Configuration;
+import org.waxwingbeam.wire.operator.ChangeRequest;
+import org.waxwingbeam.wire.operator.History;
+import org.waxwingbeam.wire.operator.InForce;
+import org.waxwingbeam.wire.operator.ReplaceReplica;
+import org.waxwingbeam.wire.operator.Status;
+
+/**
+ * What operators can ask a control replica for. Answers that only the leader can give are empty at
+ * other replicas.
+ *
+ * @since 0.1.0
+ */
+public interface OperatorOperations {
+  /** Takes a change. */
+  void change(ChangeRequest request, Consumer<ChangeOutcome> receiver);
+
+  /** Replaces a replica by one that has caught up. */
+  void replaceReplica(ReplaceReplica request, Consumer<ChangeOutcome> receiver);
+
+  /** Returns the newest accepted configuration. */
+  Optional<Configuration> configuration();
+
+  /** Returns the accepted changes from a number on. */
+  Optional<History> history(long fromNumber);
+
+  /** Tells whether a change is in force. */
+  Optional<InForce> inForce(long number);
+
+  /** Describes this replica and what it knows of the others. */
+  Status status();
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/operator/net/OperatorServer.java
@@ -0,0 +1,76 @@
+package org.waxwingbeam.operator.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.waxwingbeam.settings.Endpoint;
+
+/**
+ * Takes operators' HTTP connections at a control replica.
+ *
+ * @since 0.1.0
+ */
+public final class OperatorServer implements AutoCloseable {
+  private static final int MAX_BODY_BYTES = 4 << 20;
+  private static final long SILENCE_TIMEOUT_MS = 60_000;
+
+  private final Channel channel;
+
+  /**
+   * Starts to listen.
+   *
+   * @param group its one event loop also runs the operations
+   * @param address where to listen
+   * @param token the operators' credential
+   * @param operations answers the requests
+   */
+  public OperatorServer(
+      EventLoopGroup group, Endpoint address, String token, OperatorOperations operations) {
+    channel =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .childHandler(new Initializer(token, operations))
+            .bind(address.socketAddress())
+            .syncUninterruptibly()
+            .channel();
+  }
+
+  /** Returns the port that it listens on. */
+  public int port() {
+    return ((InetSocketAddress) channel.localAddress()).getPort();
+  }
+
+  @Override
+  public void close() {
+    channel.close().syncUninterruptibly();
+  }
+
+  private static final class Initializer extends ChannelInitializer<SocketChannel> {
+    private final String token;
+    private final OperatorOperations operations;
+
+    Initializer(String token, OperatorOperations operations) {
+      this.token = token;
+      this.operations = operations;
+    }
+
+    @Override
+    protected void initChannel(SocketChannel channel) {
+      channel
+          .pipeline()
+          .addLast(new ReadTimeoutHandler(SILENCE_TIMEOUT_MS, TimeUnit.MILLISECONDS))
+          .addLast(new HttpServerCodec())
+          .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+          .addLast(new OperatorHandler(token, operations));
+    }
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/operator/net/package-info.java
@@ -0,0 +1,2 @@
+/** Serves operators over HTTP. */
+package org.waxwingbeam.operator.net;
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/CommandResult.java
@@ -0,0 +1,34 @@
+package org.waxwingbeam.replica;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import org.waxwingbeam.wire.operator.ChangeAnswer;
+
+/**
+ * What came of a command that was applied.
+ *
+ * @since 0.1.0
+ */
+public sealed interface CommandResult {
+  /**
+   * The answer to an operator's change.
+   *
+   * @param answer the first answer that its change id got
+   */
+  record Change(ChangeAnswer answer) implements CommandResult {}
+
+  /**
+   * The answers to a batch of claims.
+   *
+   * @param answers one for each command, in the same order
+   */
+  record Claims(List<ByteString> answers) implements CommandResult {
+    /** Copies the list. */
+    public Claims {
+      answers = List.copyOf(answers);
+    }
+  }
+
+  /** The command has no answer of its own. */
+  record Done() implements CommandResult {}
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicatedState.java
@@ -0,0 +1,201 @@
+package org.waxwingbeam.replica;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.waxwingbeam.model.Configuration;
+import org.waxwingbeam.operator.ChangeCodec;
+import org.waxwingbeam.operator.ConfigurationCodec;
+import org.waxwingbeam.operator.ConfigurationEditor;
+import org.waxwingbeam.operator.EditResult;
+import org.waxwingbeam.operator.MalformedMessageException;
+import org.waxwingbeam.wire.control.AcceptedChange;
+import org.waxwingbeam.wire.control.EntryMember;
+import org.waxwingbeam.wire.control.EntryView;
+import org.waxwingbeam.wire.operator.ChangeAnswer;
+import org.waxwingbeam.wire.operator.ChangeRequest;
+import org.waxwingbeam.wire.operator.HistoryEntry;
+import org.waxwingbeam.wire.replica.ChangeEntryView;
+import org.waxwingbeam.wire.replica.ClaimBatch;
+import org.waxwingbeam.wire.replica.Command;
+import org.waxwingbeam.wire.replica.ProposedChange;
+import org.waxwingbeam.wire.replica.StateSnapshot;
+
+/**
+ * Applies the commands of the log. Every replica that applies the same commands holds the same
+ * state.
+ *
+ * <pre>{@code
+ * ReplicatedState state = new ReplicatedState(claims);
+ * CommandResult result = state.apply(command);
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+public final class ReplicatedState {
+  /** Accepted changes that are kept whole. */
+  public static final int MAX_HISTORY = 1_000;
+
+  private final ClaimMachine claims;
+  private final RememberedAnswers answers = new RememberedAnswers(RememberedAnswers.MAX_ANSWERS);
+  private final Deque<HistoryEntry> history = new ArrayDeque<>();
+  private Configuration configuration = Configuration.EMPTY;
+  private EntryView view = EntryView.getDefaultInstance();
+
+  /**
+   * Creates an empty state.
+   *
+   * @param claims applies the commands of the claim table
+   */
+  public ReplicatedState(ClaimMachine claims) {
+    this.claims = claims;
+  }
+
+  /** Applies one command. */
+  public CommandResult apply(Command command) {
+    return switch (command.getKindCase()) {
+      case CHANGE -> new CommandResult.Change(change(command.getChange()));
+      case CHANGE_ENTRY_VIEW -> changeView(command.getChangeEntryView());
+      case CLAIMS -> claim(command.getClaims());
+      case NO_OPERATION, MEMBERSHIP, KIND_NOT_SET -> new CommandResult.Done();
+    };
+  }
+
+  private ChangeAnswer change(ProposedChange proposed) {
+    return answers.firstAnswer(proposed.getRequest(), () -> decide(proposed));
+  }
+
+  private ChangeAnswer decide(ProposedChange proposed) {
+    ChangeRequest request = proposed.getRequest();
+    if (request.getBasedOn() != configuration.number()) {
+      return answer(ChangeAnswer.Result.CONFLICT)
+          .addReasons(
+              "based on number %d: expected the current number %d"
+                  .formatted(request.getBasedOn(), configuration.number()))
+          .build();
+    }
+    try {
+      EditResult result =
+          ConfigurationEditor.apply(
+              configuration, ChangeCodec.decode(request.getChange()), proposed.getProposedMs());
+      return switch (result) {
+        case EditResult.Accepted accepted -> accept(proposed, accepted.configuration());
+        case EditResult.Refused refused -> refuse(refused.reasons());
+      };
+    } catch (MalformedMessageException malformed) {
+      return refuse(malformed.reasons());
+    }
+  }
+
+  private ChangeAnswer accept(ProposedChange proposed, Configuration next) {
+    configuration = next;
+    history.add(
+        HistoryEntry.newBuilder()
+            .setNumber(next.number())
+            .setChangeId(proposed.getRequest().getChangeId())
+            .setOperator(proposed.getRequest().getOperator())
+            .setAcceptedMs(proposed.getProposedMs())
+            .setChange(proposed.getRequest().getChange())
+            .build());
+    if (history.size() > MAX_HISTORY) {
+      history.removeFirst();
+    }
+    return answer(ChangeAnswer.Result.ACCEPTED).setNumber(next.number()).build();
+  }
+
+  private ChangeAnswer refuse(List<String> reasons) {
+    return answer(ChangeAnswer.Result.REFUSED).addAllReasons(reasons).build();
+  }
+
+  private ChangeAnswer.Builder answer(ChangeAnswer.Result result) {
+    return ChangeAnswer.newBuilder().setResult(result).setCurrentNumber(configuration.number());
+  }
+
+  private CommandResult changeView(ChangeEntryView change) {
+    Map<String, EntryMember> members = new TreeMap<>();
+    view.getMembersList().forEach(member -> members.put(member.getName(), member));
+    change.getRemoveList().forEach(members::remove);
+    change.getPutList().forEach(member -> members.put(member.getName(), member));
+    view =
+        EntryView.newBuilder()
+            .setNumber(view.getNumber() + 1)
+            .addAllMembers(members.values())
+            .build();
+    return new CommandResult.Done();
+  }
+
+  private CommandResult claim(ClaimBatch batch) {
+    return new CommandResult.Claims(
+        batch.getCommandsList().stream()
+            .map(command -> claims.apply(command, batch.getProposedMs()))
+            .toList());
+  }
+
+  /** Returns the configuration after the newest accepted change. */
+  public Configuration configuration() {
+    return configuration;
+  }
+
+  /** Returns the configuration after the newest accepted change as a message. */
+  public org.waxwingbeam.wire.configuration.Configuration configurationMessage() {
+    return ConfigurationCodec.encode(configuration);
+  }
+
+  /** Returns the newest entry view. */
+  public EntryView view() {
+    return view;
+  }
+
+  /** Returns the kept accepted changes from a number on, oldest first. */
+  public List<HistoryEntry> history(long fromNumber) {
+    return history.stream().filter(entry -> entry.getNumber() >= fromNumber).toList();
+  }
+
+  /**
+   * Returns the accepted changes that lead from one configuration to the newest.
+   *
+   * @param number the number of the configuration before the first of them
+   * @return the changes in order, or none if some of them are no longer kept
+   */
+  public List<AcceptedChange> changesAfter(long number) {
+    boolean kept = !history.isEmpty() && history.getFirst().getNumber() <= number + 1;
+    return kept
+        ? history(number + 1).stream().map(ReplicatedState::acceptedChange).toList()
+        : List.of();
+  }
+
+  private static AcceptedChange acceptedChange(HistoryEntry entry) {
+    return AcceptedChange.newBuilder()
+        .setNumber(entry.getNumber())
+        .setAcceptedMs(entry.getAcceptedMs())
+        .setChange(entry.getChange())
+        .build();
+  }
+
+  /** Returns everything that the applied commands have brought about. */
+  public StateSnapshot snapshot() {
+    return StateSnapshot.newBuilder()
+        .setConfiguration(configurationMessage())
+        .setEntryView(view)
+        .addAllHistory(history)
+        .addAllAnswers(answers.all())
+        .setClaims(claims.snapshot())
+        .build();
+  }
+
+  /**
+   * Replaces the whole state.
+   *
+   * @throws MalformedMessageException if the snapshot holds a configuration that is not valid
+   */
+  public void restore(StateSnapshot snapshot) throws MalformedMessageException {
+    configuration = ConfigurationCodec.decode(snapshot.getConfiguration());
+    view = snapshot.getEntryView();
+    history.clear();
+    history.addAll(snapshot.getHistoryList());
+    answers.restore(snapshot.getAnswersList());
+    claims.restore(snapshot.getClaims());
+  }
+}
