--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/TokenFile.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/TokenFile.java
@@ -1,11 +1,15 @@
-package org.waxwingbeam.daemon.control;
+package org.waxwingbeam.daemon;
 
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 
-/** Reads a credential from a file. */
-final class TokenFile {
+/**
+ * Reads a credential from a file.
+ *
+ * @since 0.1.0
+ */
+public final class TokenFile {
   private static final int MIN_LENGTH = 16;
 
   private TokenFile() {}
@@ -15,7 +19,7 @@
    *
    * @throws IOException if the file cannot be read or its credential is too short
    */
-  static String read(Path file) throws IOException {
+  public static String read(Path file) throws IOException {
     String token = Files.readString(file).strip();
     if (token.length() < MIN_LENGTH) {
       throw new IOException(
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ControlDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ControlDaemon.java
@@ -13,6 +13,7 @@
 import org.waxwingbeam.control.EntryRegistry;
 import org.waxwingbeam.control.EntrySessions;
 import org.waxwingbeam.control.net.EntryStreamServer;
+import org.waxwingbeam.daemon.TokenFile;
 import org.waxwingbeam.operator.OperatorService;
 import org.waxwingbeam.operator.OperatorService.ChangeOutcome;
 import org.waxwingbeam.operator.net.OperatorOperations;
--- /dev/null
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
@@ -0,0 +1,194 @@
+package org.waxwingbeam.daemon.entry;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.jboss.logging.Logger;
+import org.waxwingbeam.caller.net.CallerServer;
+import org.waxwingbeam.caller.net.ClassifierCache;
+import org.waxwingbeam.caller.net.DispatchGate;
+import org.waxwingbeam.caller.net.ExchangeContext;
+import org.waxwingbeam.caller.net.RequestIds;
+import org.waxwingbeam.caller.net.RetryBudgets;
+import org.waxwingbeam.control.AppliedConfiguration;
+import org.waxwingbeam.control.net.ControlClient;
+import org.waxwingbeam.daemon.TokenFile;
+import org.waxwingbeam.metrics.EntryMetrics;
+import org.waxwingbeam.model.Configuration;
+import org.waxwingbeam.model.ErrorKind;
+import org.waxwingbeam.platform.EntryCondition;
+import org.waxwingbeam.platform.net.PlatformServer;
+import org.waxwingbeam.settings.Endpoint;
+import org.waxwingbeam.settings.EntrySettings;
+import org.waxwingbeam.target.ChoicePolicy;
+import org.waxwingbeam.target.EntryDispatcher;
+import org.waxwingbeam.target.TargetRegistry;
+import org.waxwingbeam.target.net.AnnouncementServer;
+import org.waxwingbeam.target.net.TargetConnections;
+import org.waxwingbeam.target.version.VersionSelector;
+import org.waxwingbeam.wire.control.EntryMember;
+
+/**
+ * Runs an entry instance: serves callers, takes targets' announcements and answers the platform.
+ *
+ * <pre>{@code
+ * try (EntryDaemon daemon = EntryDaemon.start(settings)) {
+ *   stopSignal.await();
+ * }
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+public final class EntryDaemon implements AutoCloseable {
+  private static final Logger LOG = Logger.getLogger(EntryDaemon.class);
+  private static final long DISPATCH_TICK_MS = 5;
+  private static final long EXPIRY_TICK_MS = 100;
+  private static final long DRAIN_POLL_MS = 20;
+
+  private final EntrySettings settings;
+  private final EventLoopGroup group;
+  private final AppliedConfiguration applied = new AppliedConfiguration();
+  private final TargetRegistry registry = new TargetRegistry();
+  private final List<Future<?>> timers = new ArrayList<>();
+  private final AtomicBoolean stopping = new AtomicBoolean();
+  private final ControlClient control;
+  private final AnnouncementServer announcements;
+  private final PlatformServer platform;
+  private final CallerServer callers;
+
+  private EntryDaemon(EntrySettings settings, String token) throws InterruptedException {
+    this.settings = settings;
+    this.group = new MultiThreadIoEventLoopGroup(settings.workers(), NioIoHandler.newFactory());
+    control =
+        new ControlClient(
+            group.next(),
+            new ControlClient.Identity(member(), token),
+            settings.controls(),
+            applied,
+            this::onConfiguration);
+    DispatchGate gate = new DispatchGate(dispatcher(), System::nanoTime);
+    announcements =
+        AnnouncementServer.start(
+            group,
+            settings.targets(),
+            announcement -> registry.announce(System.nanoTime(), announcement));
+    platform = new PlatformServer(group, settings.platform(), this::refusal);
+    callers = new CallerServer(group, settings.callers(), settings.callerLimits(), context(gate));
+    control.start();
+    repeat(gate::tick, DISPATCH_TICK_MS);
+    repeat(() -> registry.expire(System.nanoTime()), EXPIRY_TICK_MS);
+  }
+
+  /**
+   * Starts an entry instance.
+   *
+   * @throws IOException if the credential cannot be read
+   */
+  public static EntryDaemon start(EntrySettings settings) throws IOException, InterruptedException {
+    return new EntryDaemon(settings, TokenFile.read(settings.tokenFile()));
+  }
+
+  private EntryMember member() {
+    return EntryMember.newBuilder()
+        .setName(settings.instance().value())
+        .setDataCentre(settings.dataCentre().value())
+        .setPeersHost(settings.peers().host())
+        .setPeersPort(settings.peers().port())
+        .setBootId(System.currentTimeMillis())
+        .build();
+  }
+
+  private void onConfiguration(Configuration configuration) {
+    LOG.infof(
+        "event=configuration-applied instance=%s number=%d",
+        settings.instance(), configuration.number());
+  }
+
+  /** Returns the part of a limit for all entry instances that this one may use. */
+  private int share(int limit) {
+    int members = Math.max(1, control.leasedView().view().members().size());
+    return Math.max(1, limit / members);
+  }
+
+  private EntryDispatcher dispatcher() {
+    ChoicePolicy policy =
+        ChoicePolicy.named(settings.choice().policy())
+            .orElseThrow(
+                () -> new IllegalArgumentException("policy " + settings.choice().policy()));
+    return new EntryDispatcher(
+        registry, applied::current, VersionSelector.ANY, policy, System.nanoTime());
+  }
+
+  private ExchangeContext context(DispatchGate gate) {
+    return new ExchangeContext(
+        gate,
+        new TargetConnections(),
+        new ClassifierCache(applied),
+        this::refusal,
+        this::share,
+        new RetryBudgets(),
+        new RequestIds(requestPrefix()),
+        new EntryMetrics(PrometheusRegistry.defaultRegistry),
+        System::nanoTime);
+  }
+
+  private String requestPrefix() {
+    return "%s-%x-".formatted(settings.instance().value(), System.currentTimeMillis());
+  }
+
+  private void repeat(Runnable task, long periodMs) {
+    timers.add(group.next().scheduleAtFixedRate(task, periodMs, periodMs, TimeUnit.MILLISECONDS));
+  }
+
+  private Optional<ErrorKind> refusal() {
+    Configuration configuration = applied.current();
+    EntryCondition condition =
+        new EntryCondition(
+            stopping.get(),
+            configuration.number() > 0,
+            configuration.dataCentresOut().contains(settings.dataCentre()),
+            false);
+    return condition.refusal();
+  }
+
+  /** Returns where targets post their announcements. */
+  public Endpoint targets() {
+    InetSocketAddress address = announcements.address();
+    return new Endpoint(address.getAddress().getHostAddress(), address.getPort());
+  }
+
+  /** Returns the port on which the platform's checks are answered. */
+  public int platformPort() {
+    return platform.port();
+  }
+
+  /** Returns where callers connect. */
+  public Endpoint callers() {
+    return callers.endpoint();
+  }
+
+  /** Takes no new request, waits until those under way have ended, and stops. */
+  @Override
+  public void close() throws InterruptedException {
+    stopping.set(true);
+    callers.drain();
+    while (callers.exchangesUnderWay() > 0) {
+      Thread.sleep(DRAIN_POLL_MS);
+    }
+    timers.forEach(timer -> timer.cancel(false));
+    callers.close();
+    control.close();
+    announcements.close();
+    platform.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+  }
+}
--- /dev/null
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/package-info.java
@@ -0,0 +1,2 @@
+/** Composes the entry daemon. */
+package org.waxwingbeam.daemon.entry;
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Attempt.java
@@ -0,0 +1,288 @@
+package org.waxwingbeam.caller.net;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Optional;
+import org.waxwingbeam.caller.AttemptFailure;
+import org.waxwingbeam.caller.RetryReason;
+import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.target.Completion;
+import org.waxwingbeam.target.Decision;
+import org.waxwingbeam.target.DispatchRequest;
+import org.waxwingbeam.target.LoadReport;
+import org.waxwingbeam.target.Outcome;
+import org.waxwingbeam.target.TargetProtocol;
+import org.waxwingbeam.target.net.AnswerReceiver;
+import org.waxwingbeam.target.net.ExchangeFailure;
+import org.waxwingbeam.target.net.LoadHeader;
+import org.waxwingbeam.target.net.TargetConnection;
+
+/**
+ * One attempt at a request: asks for a target, sends the request there and passes the answer on. It
+ * reports its end to the dispatcher exactly once. All methods run on the caller's event loop.
+ */
+final class Attempt implements AnswerReceiver {
+  /** Hears what becomes of an attempt. */
+  interface Listener {
+    /** The dispatcher gave the attempt no target. */
+    void onNoTarget(Attempt attempt, Decision.Refused refused);
+
+    /** The attempt has a connection and is about to send the request. */
+    void onConnected(Attempt attempt);
+
+    /** The head of an answer has arrived that is no refusal. */
+    void onHead(Attempt attempt, HttpResponse head);
+
+    /** A part of the answer has arrived; the listener owns it. */
+    void onContent(Attempt attempt, HttpContent content);
+
+    /** The parts that were read together have been passed on. */
+    void onReadComplete(Attempt attempt);
+
+    /** The whole answer has arrived. */
+    void onComplete(Attempt attempt);
+
+    /** The attempt has failed. */
+    void onFailed(Attempt attempt, AttemptFailure failure);
+
+    /** The connection can take more of the request's body, or no more. */
+    void onWritabilityChanged(Attempt attempt);
+  }
+
+  private final ExchangeContext context;
+  private final Listener listener;
+  private final DispatchRequest request;
+  private final int connectionLimit;
+  private final EventLoop loop;
+
+  private TargetId target;
+  private TargetConnection connection;
+  private Optional<LoadReport> report = Optional.empty();
+  private Outcome outcome = Outcome.SUCCESS;
+  private long sentNanos;
+  private long headLatencyNanos;
+  private boolean sending;
+  private boolean refused;
+  private boolean ended;
+  private int nextPart;
+
+  Attempt(
+      ExchangeContext context,
+      Listener listener,
+      DispatchRequest request,
+      int connectionLimit,
+      EventLoop loop) {
+    this.context = context;
+    this.listener = listener;
+    this.request = request;
+    this.connectionLimit = connectionLimit;
+    this.loop = loop;
+  }
+
+  void start() {
+    onDecision(context.gate().request(request, loop, this::onDecision));
+  }
+
+  private void onDecision(Decision decision) {
+    switch (decision) {
+      case Decision.Queued queued -> {}
+      case Decision.Refused refusal -> {
+        if (!ended) {
+          ended = true;
+          listener.onNoTarget(this, refusal);
+        }
+      }
+      case Decision.Assigned assigned -> onAssigned(assigned);
+    }
+  }
+
+  private void onAssigned(Decision.Assigned assigned) {
+    target = assigned.target();
+    sentNanos = context.clock().getAsLong();
+    if (ended) {
+      report(Outcome.CANCELLED);
+      return;
+    }
+    context.connections().acquire(target, connectionLimit, loop, this::onConnection);
+  }
+
+  private void onConnection(Optional<TargetConnection> found) {
+    if (ended) {
+      found.ifPresent(context.connections()::release);
+    } else if (found.isEmpty()) {
+      fail(Outcome.CONNECT_FAILED, RetryReason.CONNECT_FAILED);
+    } else {
+      connection = found.get();
+      listener.onConnected(this);
+    }
+  }
+
+  /** Sends the head and what has arrived of the body. */
+  void send(HttpRequest head, String requestId, RequestBody body) {
+    sentNanos = context.clock().getAsLong();
+    sending = true;
+    connection.begin(head, requestId, this);
+    sendBody(body);
+  }
+
+  /** Sends the parts of the body that have arrived since the last call. */
+  void sendBody(RequestBody body) {
+    if (!isSending()) {
+      return;
+    }
+    while (nextPart < body.size()) {
+      connection.write(body.part(nextPart));
+      nextPart++;
+    }
+    connection.flush();
+  }
+
+  /** Returns whether the request has been begun and its connection is still in use. */
+  boolean isSending() {
+    return sending && !ended;
+  }
+
+  boolean isWritable() {
+    return connection.isWritable();
+  }
+
+  void setReading(boolean reading) {
+    if (isSending()) {
+      connection.setReading(reading);
+    }
+  }
+
+  /** Returns whether any byte of the request has gone to the target. */
+  boolean bytesWritten() {
+    return connection != null && connection.bytesWritten();
+  }
+
+  /** Returns the target, once the dispatcher has given one. */
+  Optional<TargetId> target() {
+    return Optional.ofNullable(target);
+  }
+
+  int partsSent() {
+    return nextPart;
+  }
+
+  /** Ends the attempt; its listener hears no more. */
+  void cancel(Outcome why) {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    if (isIdleBeforeTarget()) {
+      context.gate().cancel(request.attemptId());
+      return;
+    }
+    if (connection != null) {
+      connection.abort();
+    }
+    report(why);
+  }
+
+  private boolean isIdleBeforeTarget() {
+    return target == null;
+  }
+
+  @Override
+  public void onHead(HttpResponse head) {
+    headLatencyNanos = context.clock().getAsLong() - sentNanos;
+    report = LoadHeader.parse(head.headers().get(TargetProtocol.LOAD_HEADER));
+    Optional<RetryReason> refusal = refusal(head);
+    if (refusal.isPresent()) {
+      refused = true;
+      ended = true;
+      report(refusalOutcome(refusal.get()));
+      listener.onFailed(this, AttemptFailure.of(refusal.get()));
+      return;
+    }
+    outcome = head.status().code() >= 500 ? Outcome.FAILURE : Outcome.SUCCESS;
+    listener.onHead(this, head);
+  }
+
+  private static Optional<RetryReason> refusal(HttpResponse head) {
+    String refusal = head.headers().get(TargetProtocol.REFUSED_HEADER);
+    if (refusal == null || !head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+      return Optional.empty();
+    }
+    return switch (refusal) {
+      case "cold" -> Optional.of(RetryReason.REFUSED_COLD);
+      case "draining" -> Optional.of(RetryReason.REFUSED_DRAINING);
+      case "overloaded" -> Optional.of(RetryReason.REFUSED_OVERLOADED);
+      default -> Optional.empty();
+    };
+  }
+
+  private static Outcome refusalOutcome(RetryReason reason) {
+    return switch (reason) {
+      case REFUSED_COLD -> Outcome.REFUSED_COLD;
+      case REFUSED_DRAINING -> Outcome.REFUSED_DRAINING;
+      default -> Outcome.REFUSED_OVERLOADED;
+    };
+  }
+
+  @Override
+  public void onContent(HttpContent content) {
+    if (refused) {
+      content.release();
+    } else {
+      listener.onContent(this, content);
+    }
+  }
+
+  @Override
+  public void onReadComplete() {
+    if (!ended) {
+      listener.onReadComplete(this);
+    }
+  }
+
+  @Override
+  public void onComplete() {
+    if (!ended) {
+      ended = true;
+      report(outcome);
+      listener.onComplete(this);
+    }
+  }
+
+  @Override
+  public void onFailed(ExchangeFailure failure) {
+    if (ended) {
+      return;
+    }
+    RetryReason reason =
+        switch (failure) {
+          case NOT_WRITTEN -> RetryReason.NOT_WRITTEN;
+          case STALE_CONNECTION -> RetryReason.STALE_CONNECTION;
+          case CONNECTION_LOST -> RetryReason.CONNECTION_LOST;
+          case MALFORMED_ANSWER -> RetryReason.MALFORMED_ANSWER;
+        };
+    boolean unsent = failure == ExchangeFailure.NOT_WRITTEN;
+    fail(unsent ? Outcome.CONNECT_FAILED : Outcome.CONNECTION_LOST, reason);
+  }
+
+  @Override
+  public void onWritabilityChanged() {
+    if (!ended) {
+      listener.onWritabilityChanged(this);
+    }
+  }
+
+  private void fail(Outcome how, RetryReason reason) {
+    ended = true;
+    report(how);
+    listener.onFailed(this, AttemptFailure.of(reason));
+  }
+
+  private void report(Outcome how) {
+    long latency =
+        headLatencyNanos > 0 ? headLatencyNanos : context.clock().getAsLong() - sentNanos;
+    context.gate().complete(new Completion(request.attemptId(), target, how, latency, report));
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerConnection.java
@@ -0,0 +1,359 @@
+package org.waxwingbeam.caller.net;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.waxwingbeam.caller.Classification;
+import org.waxwingbeam.model.ErrorKind;
+import org.waxwingbeam.model.Parameter;
+import org.waxwingbeam.settings.EntrySettings;
+
+/**
+ * One connection of a caller. It serves one request at a time; pipelined requests wait for their
+ * turn and are answered in order. All methods run on its event loop.
+ */
+// A failed write or close shows in channelInactive.
+@SuppressWarnings("FutureReturnValueIgnored")
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+  private static final long LINGER_MS = 1_000;
+  private static final long DISCARD_LIMIT_BYTES = 65_536;
+
+  private final ExchangeContext context;
+  private final EntrySettings.CallerLimits limits;
+  private final Set<Exchange> exchanges;
+  private final RequestDecoder decoder;
+  private final AnswerEncoder encoder;
+  private final Deque<Object> pending = new ArrayDeque<>();
+
+  private Channel channel;
+  private Exchange exchange;
+  private boolean exchangeReads = true;
+  private boolean keepAlive;
+  private boolean continueExpected;
+  private boolean mayDiscard;
+  private boolean closing;
+  private boolean processing;
+  private long idleSinceNanos;
+
+  CallerConnection(
+      ExchangeContext context,
+      EntrySettings.CallerLimits limits,
+      Set<Exchange> exchanges,
+      RequestDecoder decoder,
+      AnswerEncoder encoder) {
+    this.context = context;
+    this.limits = limits;
+    this.exchanges = exchanges;
+    this.decoder = decoder;
+    this.encoder = encoder;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    channel = ctx.channel();
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext ctx) {
+    idleSinceNanos = context.clock().getAsLong();
+    scheduleIdleCheck();
+  }
+
+  EventLoop loop() {
+    return channel.eventLoop();
+  }
+
+  Set<Exchange> exchanges() {
+    return exchanges;
+  }
+
+  boolean isWritable() {
+    return channel.isWritable();
+  }
+
+  /** Takes no further request: closes the connection now, or after the current exchange. */
+  void drain() {
+    keepAlive = false;
+    if (exchange == null && !closing && !decoder.isWithinHead()) {
+      channel.close();
+    }
+  }
+
+  private void scheduleIdleCheck() {
+    long delayMs = Math.max(1, limits.headerTimeoutMs() / 4);
+    channel.eventLoop().schedule(this::checkIdle, delayMs, TimeUnit.MILLISECONDS);
+  }
+
+  private void checkIdle() {
+    if (!channel.isActive()) {
+      return;
+    }
+    long idleMs = TimeUnit.NANOSECONDS.toMillis(context.clock().getAsLong() - idleSinceNanos);
+    if (exchange == null && !closing) {
+      if (decoder.isWithinHead() && idleMs > limits.headerTimeoutMs()) {
+        refuseAndClose(ErrorKind.REQUEST_TIMEOUT);
+      } else if (idleMs > limits.keepAliveIdleMs()) {
+        channel.close();
+      }
+    }
+    scheduleIdleCheck();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    if (closing) {
+      ReferenceCountUtil.release(message);
+      return;
+    }
+    pending.add(message);
+    process();
+  }
+
+  private void process() {
+    if (processing) {
+      return;
+    }
+    processing = true;
+    while (!pending.isEmpty() && !closing && canTake(pending.peek())) {
+      take(pending.poll());
+    }
+    processing = false;
+    updateReading();
+  }
+
+  private boolean canTake(Object message) {
+    return exchange == null || (message instanceof HttpContent && !exchange.isRequestWhole());
+  }
+
+  private void take(Object message) {
+    if (message instanceof HttpRequest head) {
+      begin(head);
+    } else if (message instanceof HttpContent content) {
+      onContent(content);
+    } else {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  private void onContent(HttpContent content) {
+    if (content.decoderResult().isFailure()) {
+      content.release();
+      onMalformed();
+    } else if (exchange != null) {
+      exchange.onBody(content);
+    } else {
+      content.release();
+    }
+  }
+
+  private void begin(HttpRequest head) {
+    idleSinceNanos = context.clock().getAsLong();
+    Optional<ErrorKind> fault = RequestFraming.fault(head);
+    if (fault.isPresent()) {
+      refuseAndClose(fault.get());
+      return;
+    }
+    context.metrics().onRequest();
+    long length = RequestFraming.bodyLength(head);
+    continueExpected = RequestFraming.expectsContinue(head.headers());
+    mayDiscard = length == 0 || (length > 0 && length <= DISCARD_LIMIT_BYTES && !continueExpected);
+    keepAlive = HttpUtil.isKeepAlive(head);
+    encoder.answerTo(head.method().equals(HttpMethod.HEAD));
+    serve(head, length);
+  }
+
+  private void serve(HttpRequest head, long length) {
+    Optional<ErrorKind> closed = context.admission().get();
+    Optional<RequestMark> mark = RequestMark.of(head.headers());
+    Classification classification =
+        context
+            .classifiers()
+            .current()
+            .classify(head.method().name(), head.headers().get(HttpHeaderNames.HOST), head.uri());
+    if (closed.isPresent()) {
+      keepAlive = false;
+      answerError(closed.get(), 0);
+    } else if (mark.isEmpty()) {
+      answerError(ErrorKind.MALFORMED_REQUEST, 0);
+    } else if (classification instanceof Classification.Refused refused) {
+      answerError(refused.kind(), 0);
+    } else if (classification instanceof Classification.Accepted accepted) {
+      if (length > accepted.terms().value(Parameter.REQUEST_BODY_LIMIT)) {
+        answerError(ErrorKind.REQUEST_TOO_LARGE, 0);
+        return;
+      }
+      exchange = new Exchange(context, this, accepted.terms(), mark.get(), head);
+      exchanges.add(exchange);
+      exchange.start();
+    }
+  }
+
+  /** Lets the caller send the body, if it waits to be told so. */
+  void continueIfExpected() {
+    if (continueExpected) {
+      continueExpected = false;
+      channel.writeAndFlush(
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    }
+  }
+
+  /** Stops or resumes reading of the request's body. */
+  void setRequestReading(boolean reading) {
+    exchangeReads = reading;
+    updateReading();
+  }
+
+  private void updateReading() {
+    channel.config().setAutoRead(closing || (exchangeReads && pending.isEmpty()));
+  }
+
+  /** Writes the head of a target's answer. */
+  void writeHead(HttpResponse head) {
+    keepAlive &= exchange.isRequestWhole() || mayDiscard;
+    setConnectionHeader(head);
+    channel.write(head);
+  }
+
+  private void setConnectionHeader(HttpResponse head) {
+    if (!keepAlive) {
+      head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+  }
+
+  /** Writes a part of a target's answer and takes ownership of it. */
+  void write(HttpContent content) {
+    channel.write(content);
+  }
+
+  void flush() {
+    channel.flush();
+  }
+
+  /** Ends the current exchange after its whole answer has been written. */
+  void onAnswered() {
+    endExchange();
+  }
+
+  /** Answers the current request with an error. */
+  void answerError(ErrorKind kind, long retryAfterMs) {
+    context.metrics().onRefusal(kind);
+    boolean whole = exchange != null && exchange.isRequestWhole();
+    keepAlive &= whole || mayDiscard;
+    FullHttpResponse answer = ErrorAnswer.of(kind, retryAfterMs);
+    setConnectionHeader(answer);
+    channel.write(answer);
+    endExchange();
+  }
+
+  private void endExchange() {
+    exchange = null;
+    exchangeReads = true;
+    idleSinceNanos = context.clock().getAsLong();
+    channel.flush();
+    if (!keepAlive) {
+      closeAfterFlush();
+    } else {
+      process();
+    }
+  }
+
+  /** Ends the connection under an answer that cannot be completed. */
+  void cut() {
+    exchange = null;
+    closing = true;
+    // A reset tells the caller that the answer is not whole, even if its length was not stated.
+    ((SocketChannel) channel).config().setSoLinger(0);
+    channel.close();
+  }
+
+  private void onMalformed() {
+    if (exchange != null) {
+      keepAlive = false;
+      exchange.abandon(ErrorKind.MALFORMED_REQUEST);
+    } else if (!closing) {
+      refuseAndClose(ErrorKind.MALFORMED_REQUEST);
+    }
+  }
+
+  private void refuseAndClose(ErrorKind kind) {
+    context.metrics().onRefusal(kind);
+    encoder.answerTo(false);
+    FullHttpResponse answer = ErrorAnswer.of(kind, 0);
+    keepAlive = false;
+    setConnectionHeader(answer);
+    channel.write(answer);
+    closeAfterFlush();
+  }
+
+  /** Closes the connection so that the caller can still read what was written. */
+  private void closeAfterFlush() {
+    closing = true;
+    releasePending();
+    channel
+        .writeAndFlush(io.netty.buffer.Unpooled.EMPTY_BUFFER)
+        .addListener(
+            (ChannelFutureListener)
+                future -> {
+                  ((SocketChannel) channel).shutdownOutput();
+                  channel.config().setAutoRead(true);
+                });
+    channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Ends the connection, whatever it serves. May be called by any thread. */
+  void close() {
+    channel.close();
+  }
+
+  private void releasePending() {
+    pending.forEach(ReferenceCountUtil::release);
+    pending.clear();
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    if (exchange != null) {
+      exchange.onCallerWritabilityChanged(channel.isWritable());
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    closing = true;
+    releasePending();
+    if (exchange != null) {
+      exchange.onCallerGone();
+      exchange = null;
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    if (cause instanceof DecoderException) {
+      onMalformed();
+    } else {
+      channel.close();
+    }
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerServer.java
@@ -0,0 +1,122 @@
+package org.waxwingbeam.caller.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.waxwingbeam.settings.Endpoint;
+import org.waxwingbeam.settings.EntrySettings;
+
+/**
+ * Listens for callers and serves them over HTTP/1.1.
+ *
+ * <pre>{@code
+ * try (CallerServer server = new CallerServer(group, endpoint, limits, context)) {
+ *   server.awaitClose();
+ * }
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+// A failed write or close shows in channelInactive.
+@SuppressWarnings("FutureReturnValueIgnored")
+public final class CallerServer implements AutoCloseable {
+  private static final long TICK_MS = 5;
+  private static final int BACKLOG = 1_024;
+
+  private final ExchangeContext context;
+  private final EntrySettings.CallerLimits limits;
+  private final Map<EventLoop, Set<Exchange>> exchanges = new ConcurrentHashMap<>();
+  private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
+  private final Channel listener;
+
+  /**
+   * Starts to listen.
+   *
+   * @param group the event loops that serve callers and targets
+   * @param endpoint where callers connect
+   * @param limits limits on what callers send
+   * @param context what the exchanges use
+   */
+  public CallerServer(
+      EventLoopGroup group,
+      Endpoint endpoint,
+      EntrySettings.CallerLimits limits,
+      ExchangeContext context) {
+    this.context = context;
+    this.limits = limits;
+    this.listener =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new Pipeline())
+            .bind(endpoint.socketAddress())
+            .syncUninterruptibly()
+            .channel();
+  }
+
+  /** Returns the address on which the server listens. */
+  public Endpoint endpoint() {
+    InetSocketAddress address = (InetSocketAddress) listener.localAddress();
+    return new Endpoint(address.getAddress().getHostAddress(), address.getPort());
+  }
+
+  private Set<Exchange> exchangesOf(EventLoop loop) {
+    return exchanges.computeIfAbsent(loop, this::startTicking);
+  }
+
+  private Set<Exchange> startTicking(EventLoop loop) {
+    Set<Exchange> own = ConcurrentHashMap.newKeySet();
+    loop.scheduleAtFixedRate(() -> tick(own), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    return own;
+  }
+
+  private void tick(Set<Exchange> own) {
+    long now = context.clock().getAsLong();
+    List.copyOf(own).forEach(each -> each.onTick(now));
+  }
+
+  /** Returns the number of requests that are being served. */
+  public int exchangesUnderWay() {
+    return exchanges.values().stream().mapToInt(Set::size).sum();
+  }
+
+  /**
+   * Closes the connections that serve no request, and the others after their current request. New
+   * requests that still arrive are answered as the exchange context's admission says.
+   */
+  public void drain() {
+    connections.forEach(each -> each.loop().execute(each::drain));
+  }
+
+  /** Stops listening and ends every connection, whatever it serves. */
+  @Override
+  public void close() {
+    listener.close().syncUninterruptibly();
+    connections.forEach(CallerConnection::close);
+  }
+
+  private final class Pipeline extends ChannelInitializer<Channel> {
+    @Override
+    protected void initChannel(Channel channel) {
+      RequestDecoder decoder = new RequestDecoder(limits.headerBytes());
+      AnswerEncoder encoder = new AnswerEncoder();
+      Set<Exchange> own = exchangesOf(channel.eventLoop());
+      channel
+          .pipeline()
+          .addLast(decoder, encoder, new CallerConnection(context, limits, own, decoder, encoder));
+    }
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ClassifierCache.java
@@ -0,0 +1,35 @@
+package org.waxwingbeam.caller.net;
+
+import org.waxwingbeam.caller.RequestClassifier;
+import org.waxwingbeam.control.AppliedConfiguration;
+import org.waxwingbeam.model.Configuration;
+
+/**
+ * Keeps the classifier of the configuration that is applied, and compiles it anew after a change.
+ *
+ * @since 0.1.0
+ */
+public final class ClassifierCache {
+  private final AppliedConfiguration applied;
+  private volatile RequestClassifier compiled = new RequestClassifier(Configuration.EMPTY);
+
+  /** Creates a cache for the configuration that an entry instance applies. */
+  public ClassifierCache(AppliedConfiguration applied) {
+    this.applied = applied;
+  }
+
+  /** Returns the classifier of the configuration that is applied now. */
+  public RequestClassifier current() {
+    Configuration configuration = applied.current();
+    RequestClassifier found = compiled;
+    return found.number() == configuration.number() ? found : compile(configuration);
+  }
+
+  // Lock order: this lock is a leaf; no other lock is taken while it is held.
+  private synchronized RequestClassifier compile(Configuration configuration) {
+    if (compiled.number() < configuration.number()) {
+      compiled = new RequestClassifier(configuration);
+    }
+    return compiled;
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/DispatchGate.java
@@ -0,0 +1,90 @@
+package org.waxwingbeam.caller.net;
+
+import io.netty.util.concurrent.EventExecutor;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.waxwingbeam.target.Completion;
+import org.waxwingbeam.target.Decision;
+import org.waxwingbeam.target.DispatchRequest;
+import org.waxwingbeam.target.Dispatcher;
+import org.waxwingbeam.target.Outcome;
+
+/**
+ * Lets the event loops share one dispatcher, and brings each late decision to the event loop of the
+ * attempt that waits for it.
+ *
+ * @since 0.1.0
+ */
+public final class DispatchGate {
+  private final Dispatcher dispatcher;
+  private final LongSupplier clock;
+  private final Map<Long, Waiter> waiting = new ConcurrentHashMap<>();
+
+  /**
+   * Creates the gate.
+   *
+   * @param dispatcher may be called by any thread
+   * @param clock the entry's monotonic clock, in nanoseconds
+   */
+  public DispatchGate(Dispatcher dispatcher, LongSupplier clock) {
+    this.dispatcher = dispatcher;
+    this.clock = clock;
+  }
+
+  /**
+   * Asks for a target.
+   *
+   * @param request the attempt
+   * @param executor runs the receiver
+   * @param receiver called at most once, with the final decision, if the returned one is {@link
+   *     Decision.Queued}
+   * @return the decision
+   */
+  Decision request(DispatchRequest request, EventExecutor executor, Consumer<Decision> receiver) {
+    // Another event loop may make the final decision before this call returns.
+    waiting.put(request.attemptId(), new Waiter(executor, receiver));
+    Decision decision = dispatcher.request(clock.getAsLong(), request);
+    if (!(decision instanceof Decision.Queued)) {
+      waiting.remove(request.attemptId());
+    }
+    return decision;
+  }
+
+  /** Notes the end of an attempt that had been given a target. */
+  void complete(Completion completion) {
+    deliver(dispatcher.complete(clock.getAsLong(), completion));
+  }
+
+  /** Forgets an attempt that is still waiting. */
+  void cancel(long attemptId) {
+    waiting.remove(attemptId);
+    dispatcher.cancel(clock.getAsLong(), attemptId);
+  }
+
+  /** Lets time pass for the attempts that wait. */
+  public void tick() {
+    deliver(dispatcher.tick(clock.getAsLong()));
+  }
+
+  private void deliver(List<Decision> decisions) {
+    decisions.forEach(this::deliver);
+  }
+
+  private void deliver(Decision decision) {
+    Waiter waiter = waiting.remove(decision.attemptId());
+    if (waiter != null) {
+      waiter.executor().execute(() -> waiter.receiver().accept(decision));
+    } else if (decision instanceof Decision.Assigned assigned) {
+      // The attempt was cancelled at the same moment: the place is free again.
+      complete(
+          new Completion(
+              assigned.attemptId(), assigned.target(), Outcome.CANCELLED, 0, Optional.empty()));
+    }
+  }
+
+  private record Waiter(EventExecutor executor, Consumer<Decision> receiver) {}
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/EndToEndHeaders.java
@@ -0,0 +1,53 @@
+package org.waxwingbeam.caller.net;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.AsciiString;
+import java.util.List;
+import org.waxwingbeam.target.TargetProtocol;
+
+/** Removes the headers that concern one connection only. */
+final class EndToEndHeaders {
+  private static final List<AsciiString> CONNECTION_HEADERS =
+      List.of(
+          HttpHeaderNames.CONNECTION,
+          AsciiString.cached("keep-alive"),
+          AsciiString.cached("proxy-connection"),
+          HttpHeaderNames.TE,
+          HttpHeaderNames.TRAILER,
+          HttpHeaderNames.UPGRADE);
+  private static final List<AsciiString> PROTECTED =
+      List.of(
+          HttpHeaderNames.CONTENT_LENGTH, HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.HOST);
+
+  private EndToEndHeaders() {}
+
+  /** Removes them from a request that is about to be sent to a target. */
+  static void keepInRequest(HttpHeaders headers) {
+    removeConnectionHeaders(headers);
+    headers.remove(HttpHeaderNames.EXPECT);
+  }
+
+  /** Removes them, and what a target says to the system only, from an answer. */
+  static void keepInAnswer(HttpHeaders headers) {
+    removeConnectionHeaders(headers);
+    headers.remove(TargetProtocol.LOAD_HEADER);
+    headers.remove(TargetProtocol.REFUSED_HEADER);
+    headers.remove(TargetProtocol.REQUEST_ID_HEADER);
+  }
+
+  private static void removeConnectionHeaders(HttpHeaders headers) {
+    if (headers.contains(HttpHeaderNames.CONNECTION)) {
+      headers.getAll(HttpHeaderNames.CONNECTION).stream()
+          .flatMap(value -> List.of(value.split(",", -1)).stream())
+          .map(String::strip)
+          .filter(name -> !name.isEmpty() && !isProtected(name))
+          .forEach(headers::remove);
+    }
+    CONNECTION_HEADERS.forEach(headers::remove);
+  }
+
+  private static boolean isProtected(String name) {
+    return PROTECTED.stream().anyMatch(each -> each.contentEqualsIgnoreCase(name));
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -0,0 +1,302 @@
+package org.waxwingbeam.caller.net;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.waxwingbeam.caller.AttemptFailure;
+import org.waxwingbeam.caller.RequestTerms;
+import org.waxwingbeam.caller.RetryPolicy;
+import org.waxwingbeam.caller.RetryReason;
+import org.waxwingbeam.model.ErrorKind;
+import org.waxwingbeam.model.Parameter;
+import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.target.Decision;
+import org.waxwingbeam.target.DispatchRequest;
+import org.waxwingbeam.target.Outcome;
+import org.waxwingbeam.target.TargetProtocol;
+
+/**
+ * Serves one request: sends it to targets as the retry policy allows and passes one whole answer,
+ * or one error, on to the caller. All methods run on the caller's event loop.
+ */
+final class Exchange implements Attempt.Listener, AutoCloseable {
+  private static final long NANOS_PER_MS = 1_000_000;
+
+  private final ExchangeContext context;
+  private final CallerConnection caller;
+  private final EventLoop loop;
+  private final RequestTerms terms;
+  private final RequestMark mark;
+  private final HttpRequest head;
+  private final String requestId;
+  private final RequestBody body = new RequestBody();
+  private final List<Attempt> active = new ArrayList<>(2);
+  private final Set<TargetId> used = new HashSet<>(2);
+  private final ExchangeLimits limits;
+
+  private Optional<AttemptFailure> uncertain = Optional.empty();
+  private Attempt answering;
+  private int attempts;
+  private boolean ended;
+
+  Exchange(
+      ExchangeContext context,
+      CallerConnection caller,
+      RequestTerms terms,
+      RequestMark mark,
+      HttpRequest head) {
+    this.context = context;
+    this.caller = caller;
+    this.loop = caller.loop();
+    this.terms = terms;
+    this.mark = mark;
+    this.head = head;
+    this.requestId = context.ids().nextRequest();
+    this.limits = new ExchangeLimits(terms, mark, context.clock().getAsLong());
+    EndToEndHeaders.keepInRequest(head.headers());
+  }
+
+  /** Starts the first attempt. */
+  void start() {
+    startAttempt();
+  }
+
+  private void startAttempt() {
+    attempts++;
+    DispatchRequest request =
+        new DispatchRequest(
+            context.ids().nextAttempt(),
+            terms.service(),
+            terms.account(),
+            terms.route(),
+            terms.idempotent(),
+            (int) terms.value(Parameter.SHED_RANK),
+            (int) terms.value(Parameter.QUEUE_LIMIT),
+            limits.headDeadlineNanos(),
+            Set.copyOf(used));
+    int limit = (int) terms.value(Parameter.CONNECTION_LIMIT);
+    Attempt attempt =
+        new Attempt(context, this, request, context.connectionShare().applyAsInt(limit), loop);
+    active.add(attempt);
+    attempt.start();
+  }
+
+  /** Takes a part of the request's body. */
+  void onBody(HttpContent part) {
+    body.add(part);
+    limits.onProgress(context.clock().getAsLong());
+    if (body.bytes() > terms.value(Parameter.REQUEST_BODY_LIMIT)) {
+      abandon(ErrorKind.REQUEST_TOO_LARGE);
+      return;
+    }
+    if (body.isWhole()) {
+      limits.onRequestWhole(context.clock().getAsLong());
+    }
+    List.copyOf(active).forEach(each -> each.sendBody(body));
+    discardSentBody();
+    updateRequestReading();
+  }
+
+  private void discardSentBody() {
+    if (body.exceedsKeptLimit() && active.size() == 1 && active.getFirst().isSending()) {
+      body.discardBelow(active.getFirst().partsSent());
+    }
+  }
+
+  private void updateRequestReading() {
+    boolean blocked =
+        active.stream().anyMatch(each -> each.isSending() && !each.isWritable())
+            || (body.exceedsKeptLimit() && active.stream().noneMatch(Attempt::isSending));
+    caller.setRequestReading(!blocked);
+  }
+
+  /** Returns whether the request has arrived to its end. */
+  boolean isRequestWhole() {
+    return body.isWhole();
+  }
+
+  /** Ends the exchange because the request itself broke off or broke a limit. */
+  void abandon(ErrorKind kindIfUnsent) {
+    boolean sent = active.stream().anyMatch(Attempt::bytesWritten) || uncertain.isPresent();
+    cancelAll(Outcome.CANCELLED);
+    if (answering != null) {
+      cut();
+    } else {
+      answer(sent ? ErrorKind.REQUEST_INCOMPLETE : kindIfUnsent, 0);
+    }
+  }
+
+  /** Cancels the exchange because the caller has left. */
+  void onCallerGone() {
+    if (!ended) {
+      context.metrics().onCallerGone();
+      cancelAll(Outcome.CANCELLED);
+      finish();
+    }
+  }
+
+  /** Stops or resumes reading the answer as the caller's connection allows. */
+  void onCallerWritabilityChanged(boolean writable) {
+    limits.onProgress(context.clock().getAsLong());
+    if (answering != null) {
+      answering.setReading(writable);
+    }
+  }
+
+  /** Enforces the limits on the exchange's time. */
+  void onTick(long nowNanos) {
+    switch (limits.broken(nowNanos)) {
+      case HEAD_DEADLINE -> onDeadline();
+      case REQUEST_STALLED -> abandon(ErrorKind.REQUEST_TIMEOUT);
+      case ANSWER_STALLED, ANSWER_TOO_LONG -> {
+        cancelAll(Outcome.TIMED_OUT);
+        cut();
+      }
+      default -> {}
+    }
+  }
+
+  private void onDeadline() {
+    boolean sent = active.stream().anyMatch(Attempt::bytesWritten) || uncertain.isPresent();
+    cancelAll(Outcome.TIMED_OUT);
+    answer(sent ? ErrorKind.DEADLINE_EXCEEDED : ErrorKind.DEADLINE_BEFORE_START, 0);
+  }
+
+  @Override
+  public void onNoTarget(Attempt attempt, Decision.Refused refused) {
+    active.remove(attempt);
+    if (active.isEmpty()) {
+      answer(refused.kind(), refused.retryAfterMs());
+    }
+  }
+
+  @Override
+  public void onConnected(Attempt attempt) {
+    attempt.target().ifPresent(used::add);
+    caller.continueIfExpected();
+    attempt.send(outgoingHead(), requestId, body);
+    discardSentBody();
+    updateRequestReading();
+  }
+
+  private HttpRequest outgoingHead() {
+    HttpHeaders headers = head.headers().copy();
+    int number = Math.max(attempts, mark.attempt());
+    long leftMs = limits.headLeftNanos(context.clock().getAsLong()) / NANOS_PER_MS;
+    headers.set(TargetProtocol.DEADLINE_HEADER, Math.max(1, leftMs));
+    headers.set(TargetProtocol.ATTEMPT_HEADER, number);
+    headers.set(TargetProtocol.REQUEST_ID_HEADER, requestId);
+    return new DefaultHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), headers);
+  }
+
+  @Override
+  public void onHead(Attempt attempt, HttpResponse answerHead) {
+    answering = attempt;
+    active.remove(attempt);
+    cancelAll(Outcome.CANCELLED);
+    active.add(attempt);
+    limits.onAnswerHead(context.clock().getAsLong());
+    EndToEndHeaders.keepInAnswer(answerHead.headers());
+    caller.writeHead(answerHead);
+    attempt.setReading(caller.isWritable());
+  }
+
+  @Override
+  public void onContent(Attempt attempt, HttpContent content) {
+    limits.onProgress(context.clock().getAsLong());
+    caller.write(content);
+  }
+
+  @Override
+  public void onReadComplete(Attempt attempt) {
+    caller.flush();
+  }
+
+  @Override
+  public void onComplete(Attempt attempt) {
+    context.budgets().of(terms.service()).onSuccess(terms.value(Parameter.RETRY_BUDGET));
+    finish();
+    caller.onAnswered();
+  }
+
+  @Override
+  public void onFailed(Attempt attempt, AttemptFailure failure) {
+    active.remove(attempt);
+    if (attempt == answering) {
+      cut();
+      return;
+    }
+    if (failure.mayHaveRun()) {
+      uncertain = Optional.of(uncertain.orElse(failure));
+    }
+    if (mayRetry(failure)) {
+      context.metrics().onRetry(failure.reason());
+      startAttempt();
+    } else if (active.isEmpty()) {
+      answer(failure.kind(), 0);
+    }
+  }
+
+  private boolean mayRetry(AttemptFailure failure) {
+    RetryPolicy.RequestProgress progress =
+        new RetryPolicy.RequestProgress(
+            terms.idempotent(), attempts, answering != null, body.isKept(), mark.isRetry());
+    return RetryPolicy.mayRetry(failure, progress) && spendRetry(failure.reason());
+  }
+
+  private boolean spendRetry(RetryReason reason) {
+    boolean spent = context.budgets().of(terms.service()).spend();
+    if (!spent) {
+      context.metrics().onDeniedRetry(reason);
+    }
+    return spent;
+  }
+
+  @Override
+  public void onWritabilityChanged(Attempt attempt) {
+    limits.onProgress(context.clock().getAsLong());
+    updateRequestReading();
+  }
+
+  /** Answers with an error. What an earlier attempt may have run is never called not run. */
+  private void answer(ErrorKind kind, long retryAfterMs) {
+    if (ended) {
+      return;
+    }
+    ErrorKind honest =
+        kind.run() == ErrorKind.Run.NO ? uncertain.map(AttemptFailure::kind).orElse(kind) : kind;
+    finish();
+    caller.answerError(honest, retryAfterMs);
+  }
+
+  private void cut() {
+    context.metrics().onCutAnswer();
+    finish();
+    caller.cut();
+  }
+
+  private void cancelAll(Outcome why) {
+    active.forEach(each -> each.cancel(why));
+    active.clear();
+  }
+
+  private void finish() {
+    ended = true;
+    close();
+  }
+
+  @Override
+  public void close() {
+    body.close();
+    caller.exchanges().remove(this);
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeLimits.java
@@ -0,0 +1,95 @@
+package org.waxwingbeam.caller.net;
+
+import org.waxwingbeam.caller.RequestTerms;
+import org.waxwingbeam.model.Parameter;
+
+/**
+ * Tells when an exchange has taken too long. Times are in nanoseconds of the entry's monotonic
+ * clock.
+ */
+final class ExchangeLimits {
+  /** The limit that an exchange has broken. */
+  enum Broken {
+    /** No limit. */
+    NONE,
+    /** The answer's head has not arrived before the deadline. */
+    HEAD_DEADLINE,
+    /** The request's body has not moved for too long. */
+    REQUEST_STALLED,
+    /** The answer's body has not moved for too long. */
+    ANSWER_STALLED,
+    /** The transfer takes too long as a whole. */
+    ANSWER_TOO_LONG
+  }
+
+  private static final long NANOS_PER_MS = 1_000_000;
+
+  private final boolean transfer;
+  private final long allowedToHeadNanos;
+  private final long idleNanos;
+  private final long totalNanos;
+  private final long startNanos;
+
+  private long headDeadlineNanos;
+  private long progressNanos;
+  private boolean requestWhole;
+  private boolean answerBegun;
+
+  ExchangeLimits(RequestTerms terms, RequestMark mark, long nowNanos) {
+    long deadlineMs = terms.value(Parameter.DEADLINE);
+    transfer = terms.transfer();
+    allowedToHeadNanos = Math.min(deadlineMs, mark.deadlineMs().orElse(deadlineMs)) * NANOS_PER_MS;
+    idleNanos = terms.value(Parameter.TRANSFER_IDLE) * NANOS_PER_MS;
+    totalNanos = terms.value(Parameter.TRANSFER_TOTAL) * NANOS_PER_MS;
+    startNanos = nowNanos;
+    progressNanos = nowNanos;
+    headDeadlineNanos = nowNanos + allowedToHeadNanos;
+  }
+
+  long headDeadlineNanos() {
+    return headDeadlineNanos;
+  }
+
+  long headLeftNanos(long nowNanos) {
+    return headDeadlineNanos - nowNanos;
+  }
+
+  /** Notes that the request has arrived whole. A transfer's deadline counts from here. */
+  void onRequestWhole(long nowNanos) {
+    if (transfer && !requestWhole) {
+      headDeadlineNanos = nowNanos + allowedToHeadNanos;
+    }
+    requestWhole = true;
+    progressNanos = nowNanos;
+  }
+
+  /** Notes that the answer's head has arrived. */
+  void onAnswerHead(long nowNanos) {
+    answerBegun = true;
+    progressNanos = nowNanos;
+  }
+
+  /** Notes that bytes have moved. */
+  void onProgress(long nowNanos) {
+    progressNanos = nowNanos;
+  }
+
+  /** Returns the limit that is broken now. */
+  Broken broken(long nowNanos) {
+    boolean stalled = nowNanos - progressNanos > idleNanos;
+    if (answerBegun) {
+      return brokenByAnswer(nowNanos, stalled);
+    }
+    if (transfer && !requestWhole) {
+      return stalled || nowNanos - startNanos > totalNanos ? Broken.REQUEST_STALLED : Broken.NONE;
+    }
+    return nowNanos - headDeadlineNanos >= 0 ? Broken.HEAD_DEADLINE : Broken.NONE;
+  }
+
+  private Broken brokenByAnswer(long nowNanos, boolean stalled) {
+    if (stalled) {
+      return Broken.ANSWER_STALLED;
+    }
+    return transfer && nowNanos - startNanos > totalNanos ? Broken.ANSWER_TOO_LONG : Broken.NONE;
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/RequestFraming.java
@@ -0,0 +1,69 @@
+package org.waxwingbeam.caller.net;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import java.util.List;
+import java.util.Optional;
+import org.waxwingbeam.model.ErrorKind;
+
+/** Checks that a decoded request is well-formed and that its end can be told from its head. */
+final class RequestFraming {
+  /** The body length of a request whose body is chunked. */
+  static final long CHUNKED = -1;
+
+  private RequestFraming() {}
+
+  /** Returns what is wrong with a request's head, or empty. */
+  static Optional<ErrorKind> fault(HttpRequest head) {
+    if (head.decoderResult().isFailure()) {
+      return Optional.of(kindOf(head.decoderResult().cause()));
+    }
+    HttpHeaders headers = head.headers();
+    boolean wellFormed =
+        head.protocolVersion().equals(HttpVersion.HTTP_1_1)
+            && !head.method().equals(HttpMethod.CONNECT)
+            && headers.getAll(HttpHeaderNames.HOST).size() == 1
+            && hasKnownEncoding(headers)
+            && hasKnownExpectation(headers);
+    return wellFormed ? Optional.empty() : Optional.of(ErrorKind.MALFORMED_REQUEST);
+  }
+
+  private static ErrorKind kindOf(Throwable cause) {
+    return cause instanceof TooLongHttpLineException || cause instanceof TooLongHttpHeaderException
+        ? ErrorKind.REQUEST_TOO_LARGE
+        : ErrorKind.MALFORMED_REQUEST;
+  }
+
+  private static boolean hasKnownEncoding(HttpHeaders headers) {
+    List<String> encodings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+    return encodings.isEmpty()
+        || (encodings.size() == 1
+            && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.getFirst()));
+  }
+
+  private static boolean hasKnownExpectation(HttpHeaders headers) {
+    List<String> expectations = headers.getAll(HttpHeaderNames.EXPECT);
+    return expectations.isEmpty() || (expectations.size() == 1 && expectsContinue(headers));
+  }
+
+  /** Returns whether the caller waits for a provisional answer before it sends the body. */
+  static boolean expectsContinue(HttpHeaders headers) {
+    String expectation = headers.get(HttpHeaderNames.EXPECT);
+    return expectation != null && HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expectation);
+  }
+
+  /** Returns the length of the body in bytes, or {@link #CHUNKED}. */
+  static long bodyLength(HttpRequest head) {
+    if (head.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+      return CHUNKED;
+    }
+    String length = head.headers().get(HttpHeaderNames.CONTENT_LENGTH);
+    return length == null ? 0 : Long.parseLong(length);
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/RequestMark.java
@@ -0,0 +1,40 @@
+package org.waxwingbeam.caller.net;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.waxwingbeam.caller.CallerProtocol;
+
+/**
+ * Holds what a caller's own headers say of a request.
+ *
+ * @param deadlineMs milliseconds until the caller's deadline, if it states one
+ * @param attempt 1, or more if the sender has sent the request before
+ */
+record RequestMark(OptionalLong deadlineMs, int attempt) {
+  private static final int MAX_DIGITS = 9;
+
+  /** Reads the headers, or returns empty if one is not well-formed. */
+  static Optional<RequestMark> of(HttpHeaders headers) {
+    String deadline = headers.get(CallerProtocol.DEADLINE_HEADER);
+    String attempt = headers.get(CallerProtocol.ATTEMPT_HEADER);
+    if ((deadline != null && !isNumber(deadline)) || (attempt != null && !isNumber(attempt))) {
+      return Optional.empty();
+    }
+    OptionalLong deadlineMs =
+        deadline == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(deadline));
+    return Optional.of(
+        new RequestMark(deadlineMs, attempt == null ? 1 : Integer.parseInt(attempt)));
+  }
+
+  private static boolean isNumber(String text) {
+    return !text.isEmpty()
+        && text.length() <= MAX_DIGITS
+        && text.chars().allMatch(c -> c >= '0' && c <= '9');
+  }
+
+  /** Returns whether the sender has sent the request before. */
+  boolean isRetry() {
+    return attempt > 1;
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/package-info.java
@@ -0,0 +1,2 @@
+/** Serves callers over HTTP/1.1. */
+package org.waxwingbeam.caller.net;
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/metrics/EntryMetrics.java
@@ -0,0 +1,106 @@
+package org.waxwingbeam.metrics;
+
+import io.prometheus.metrics.core.datapoints.CounterDataPoint;
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.function.Function;
+import org.waxwingbeam.caller.RetryReason;
+import org.waxwingbeam.model.ErrorKind;
+
+/**
+ * Counts what an entry instance does with requests.
+ *
+ * @since 0.1.0
+ */
+public final class EntryMetrics {
+  private final Counter requests;
+  private final Counter cutAnswers;
+  private final Counter departures;
+  private final Map<ErrorKind, CounterDataPoint> refusals;
+  private final Map<RetryReason, CounterDataPoint> retries;
+  private final Map<RetryReason, CounterDataPoint> deniedRetries;
+
+  /** Registers the counters, each with every value of its label. */
+  public EntryMetrics(PrometheusRegistry registry) {
+    requests =
+        Counter.builder()
+            .name("waxwingbeam_entry_requests")
+            .help("Requests whose head has arrived.")
+            .register(registry);
+    cutAnswers =
+        Counter.builder()
+            .name("waxwingbeam_entry_answers_cut")
+            .help("Answers that ended before they were whole; the caller's connection was reset.")
+            .register(registry);
+    departures =
+        Counter.builder()
+            .name("waxwingbeam_entry_callers_gone")
+            .help("Requests whose caller left before the answer was whole.")
+            .register(registry);
+    refusals =
+        dataPoints(
+            counter(registry, "refusals", "Answers of the system itself by error kind.", "kind"),
+            ErrorKind.class,
+            ErrorKind::code);
+    retries =
+        dataPoints(
+            counter(registry, "retries", "Requests that were sent to a further target.", "reason"),
+            RetryReason.class,
+            RetryReason::code);
+    deniedRetries =
+        dataPoints(
+            counter(registry, "retries_denied", "Retries that the budget denied.", "reason"),
+            RetryReason.class,
+            RetryReason::code);
+  }
+
+  private static Counter counter(
+      PrometheusRegistry registry, String name, String help, String label) {
+    return Counter.builder()
+        .name("waxwingbeam_entry_" + name)
+        .help(help)
+        .labelNames(label)
+        .register(registry);
+  }
+
+  private static <E extends Enum<E>> Map<E, CounterDataPoint> dataPoints(
+      Counter counter, Class<E> type, Function<E, String> code) {
+    Map<E, CounterDataPoint> points = new EnumMap<>(type);
+    Arrays.stream(type.getEnumConstants())
+        .forEach(each -> points.put(each, counter.labelValues(code.apply(each))));
+    return points;
+  }
+
+  /** Counts a request whose head has arrived. */
+  public void onRequest() {
+    requests.inc();
+  }
+
+  /** Counts an answer of the system itself. */
+  public void onRefusal(ErrorKind kind) {
+    refusals.get(kind).inc();
+  }
+
+  /** Counts a request that is sent to a further target. */
+  public void onRetry(RetryReason reason) {
+    retries.get(reason).inc();
+  }
+
+  /** Counts a retry that the budget denied. */
+  public void onDeniedRetry(RetryReason reason) {
+    deniedRetries.get(reason).inc();
+  }
+
+  /** Counts an answer that ended before it was whole. */
+  public void onCutAnswer() {
+    cutAnswers.inc();
+  }
+
+  /** Counts a request whose caller left. */
+  public void onCallerGone() {
+    departures.inc();
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counts and exposes what the daemons do. */
+package org.waxwingbeam.metrics;
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/model/ErrorKind.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/model/ErrorKind.java
@@ -25,6 +25,9 @@
   REQUEST_TOO_LARGE(413, Run.NO, Retry.NEVER, "the request exceeds a size limit"),
   /** The request's headers or body did not arrive in time. */
   REQUEST_TIMEOUT(408, Run.NO, Retry.LATER, "the request did not arrive in time"),
+  /** The request broke off or broke a limit after a part of it was sent to a target. */
+  REQUEST_INCOMPLETE(
+      400, Run.UNKNOWN, Retry.IF_IDEMPOTENT, "the request ended before it was whole"),
   /** No template claims the request's host, or no route its path. */
   NO_ROUTE(404, Run.NO, Retry.NEVER, "no template has a route for this host and path"),
   /** The host names a client account that is not configured. */
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/platform/net/package-info.java
@@ -0,0 +1,2 @@
+/** Answers the platform's readiness and liveness checks over HTTP. */
+package org.waxwingbeam.platform.net;
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
@@ -0,0 +1,279 @@
+package org.waxwingbeam.target.net;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelProgressiveFuture;
+import io.netty.channel.ChannelProgressiveFutureListener;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.target.TargetProtocol;
+
+/**
+ * One connection to a target. It carries one exchange at a time, and is used again only after a
+ * complete and well-framed one. All methods are called on its event loop.
+ *
+ * <pre>{@code
+ * connection.begin(head, requestId, receiver);
+ * connection.write(LastHttpContent.EMPTY_LAST_CONTENT);
+ * connection.flush();
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+// A failed write or close shows in channelInactive.
+@SuppressWarnings("FutureReturnValueIgnored")
+public final class TargetConnection extends ChannelInboundHandlerAdapter {
+  private final TargetId target;
+  private final TargetPool pool;
+  private final AnswerDecoder decoder;
+  private Channel channel;
+
+  private AnswerReceiver receiver;
+  private String requestId;
+  private boolean toHeadRequest;
+  private boolean requestWhole;
+  private boolean bytesWritten;
+  private boolean answerBegun;
+  private boolean skippingInformational;
+  private boolean reusable;
+  private boolean echoesRequestId;
+  private int exchanges;
+
+  TargetConnection(TargetId target, TargetPool pool, AnswerDecoder decoder) {
+    this.target = target;
+    this.pool = pool;
+    this.decoder = decoder;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    channel = ctx.channel();
+  }
+
+  /** Returns the target at the other end. */
+  public TargetId target() {
+    return target;
+  }
+
+  Channel channel() {
+    return channel;
+  }
+
+  /**
+   * Begins an exchange by writing the head of its request.
+   *
+   * @param head the head as it is to be sent
+   * @param id the request's id, which the target may echo on its answer
+   * @param answerReceiver receives the answer
+   */
+  public void begin(HttpRequest head, String id, AnswerReceiver answerReceiver) {
+    receiver = answerReceiver;
+    requestId = id;
+    toHeadRequest = head.method().equals(HttpMethod.HEAD);
+    requestWhole = false;
+    bytesWritten = false;
+    answerBegun = false;
+    reusable = false;
+    exchanges++;
+    decoder.expectAnswer(toHeadRequest);
+    channel.config().setAutoRead(true);
+    channel.write(head, channel.newProgressivePromise().addListener(new WriteProgress()));
+  }
+
+  /**
+   * Writes a part of the request's body.
+   *
+   * @param content owned by the connection; a {@code LastHttpContent} ends the request
+   */
+  public void write(HttpContent content) {
+    requestWhole |= content instanceof LastHttpContent;
+    channel.write(content);
+  }
+
+  /** Sends what has been written. */
+  public void flush() {
+    channel.flush();
+  }
+
+  /** Returns whether the connection can take more of the request's body. */
+  public boolean isWritable() {
+    return channel.isWritable();
+  }
+
+  /** Returns whether any byte of the current request has left this process. */
+  public boolean bytesWritten() {
+    return bytesWritten;
+  }
+
+  /** Stops or resumes the reading of the answer. */
+  public void setReading(boolean reading) {
+    channel.config().setAutoRead(reading);
+  }
+
+  /** Ends the exchange without an answer; its receiver hears no more. */
+  public void abort() {
+    receiver = null;
+    channel.close();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    if (receiver == null) {
+      // Bytes that belong to no exchange: nothing on this connection can be trusted any more.
+      ReferenceCountUtil.release(message);
+      channel.close();
+      return;
+    }
+    switch (message) {
+      case HttpResponse head -> onHead(head);
+      case HttpContent content -> onContent(content);
+      default -> ReferenceCountUtil.release(message);
+    }
+  }
+
+  private void onHead(HttpResponse head) {
+    if (head.decoderResult().isFailure()) {
+      fail(answerBegunOrMalformed());
+    } else if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+      onInformational(head);
+    } else if (!isExpected(head)) {
+      fail(ExchangeFailure.MALFORMED_ANSWER);
+    } else {
+      answerBegun = true;
+      reusable = HttpUtil.isKeepAlive(head);
+      receiver.onHead(head);
+    }
+  }
+
+  private ExchangeFailure answerBegunOrMalformed() {
+    return channel.isActive() ? ExchangeFailure.MALFORMED_ANSWER : lost();
+  }
+
+  private void onInformational(HttpResponse head) {
+    if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+      fail(ExchangeFailure.MALFORMED_ANSWER);
+    } else {
+      skippingInformational = true;
+    }
+  }
+
+  private boolean isExpected(HttpResponse head) {
+    String echoed = head.headers().get(TargetProtocol.REQUEST_ID_HEADER);
+    if (echoed == null ? echoesRequestId : !echoed.equals(requestId)) {
+      return false;
+    }
+    echoesRequestId = echoed != null;
+    return bytesWritten && AnswerFraming.isDelimited(head, toHeadRequest);
+  }
+
+  private void onContent(HttpContent content) {
+    if (content.decoderResult().isFailure()) {
+      content.release();
+      fail(answerBegunOrMalformed());
+    } else if (skippingInformational) {
+      skippingInformational = !(content instanceof LastHttpContent);
+      content.release();
+    } else {
+      boolean last = content instanceof LastHttpContent;
+      receiver.onContent(content);
+      // The receiver may have aborted the exchange.
+      if (last && receiver != null) {
+        complete();
+      }
+    }
+  }
+
+  private void complete() {
+    AnswerReceiver finished = receiver;
+    receiver = null;
+    if (reusable && requestWhole && channel.isActive() && !decoder.hasUndecodedBytes()) {
+      pool.release(this);
+    } else {
+      channel.close();
+    }
+    finished.onComplete();
+  }
+
+  private void fail(ExchangeFailure failure) {
+    AnswerReceiver failed = receiver;
+    receiver = null;
+    channel.close();
+    failed.onFailed(failure);
+  }
+
+  private ExchangeFailure lost() {
+    if (!bytesWritten) {
+      return ExchangeFailure.NOT_WRITTEN;
+    }
+    return exchanges > 1 && !answerBegun && !skippingInformational
+        ? ExchangeFailure.STALE_CONNECTION
+        : ExchangeFailure.CONNECTION_LOST;
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    if (receiver != null) {
+      receiver.onReadComplete();
+    }
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    if (receiver != null) {
+      receiver.onWritabilityChanged();
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    pool.closed(this);
+    if (receiver != null) {
+      fail(lost());
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    if (receiver != null && cause instanceof io.netty.handler.codec.DecoderException) {
+      fail(ExchangeFailure.MALFORMED_ANSWER);
+    } else {
+      channel.close();
+    }
+  }
+
+  /** Notes when the first byte of a request's head has been written to the socket. */
+  private final class WriteProgress implements ChannelProgressiveFutureListener {
+    private final int exchange = exchanges;
+
+    @Override
+    public void operationProgressed(ChannelProgressiveFuture future, long progress, long total) {
+      bytesWritten |= exchange == exchanges && progress > 0;
+    }
+
+    @Override
+    public void operationComplete(ChannelProgressiveFuture future) {
+      if (exchange != exchanges) {
+        return;
+      }
+      bytesWritten |= future.isSuccess();
+      if (!future.isSuccess()) {
+        channel.eventLoop().execute(this::failCurrent);
+      }
+    }
+
+    private void failCurrent() {
+      if (exchange == exchanges && receiver != null) {
+        fail(lost());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnections.java
@@ -0,0 +1,97 @@
+package org.waxwingbeam.target.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.waxwingbeam.model.TargetId;
+
+/**
+ * Holds the connections to every target, within a limit for each.
+ *
+ * <pre>{@code
+ * connections.acquire(target, limit, loop, found -> found.ifPresentOrElse(this::send, this::fail));
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+// A failed write or close shows in channelInactive.
+@SuppressWarnings("FutureReturnValueIgnored")
+public final class TargetConnections {
+  private static final int CONNECT_TIMEOUT_MS = 1_000;
+
+  private final ConcurrentHashMap<TargetId, TargetPool> pools = new ConcurrentHashMap<>();
+
+  /**
+   * Finds an idle connection or opens one. If the limit is reached, waits for one to become free.
+   *
+   * @param target the target
+   * @param limit connections that this process may hold to the target, at least 1
+   * @param loop the event loop on which the connection is to run
+   * @param receiver called once on the event loop with the connection, or with empty if none could
+   *     be opened
+   */
+  public void acquire(
+      TargetId target, int limit, EventLoop loop, Consumer<Optional<TargetConnection>> receiver) {
+    pools
+        .computeIfAbsent(target, key -> new TargetPool(key, this::open))
+        .acquire(limit, loop, receiver);
+  }
+
+  /** Gives back a connection that was acquired but not used. Called on its event loop. */
+  public void release(TargetConnection connection) {
+    pools.get(connection.target()).release(connection);
+  }
+
+  /** Returns the number of connections that are open to a target. */
+  public int openConnections(TargetId target) {
+    TargetPool pool = pools.get(target);
+    return pool == null ? 0 : pool.openConnections();
+  }
+
+  private void open(
+      TargetPool pool, EventLoop loop, Consumer<Optional<TargetConnection>> receiver) {
+    AnswerDecoder decoder = new AnswerDecoder();
+    TargetConnection connection = new TargetConnection(pool.target(), pool, decoder);
+    ChannelFuture opening =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .handler(new Pipeline(decoder, connection))
+            .connect(new InetSocketAddress(pool.target().host(), pool.target().port()));
+    opening.addListener(
+        future -> {
+          if (future.isSuccess()) {
+            receiver.accept(Optional.of(connection));
+          } else {
+            pool.freePlace();
+            receiver.accept(Optional.empty());
+          }
+        });
+  }
+
+  private static final class Pipeline extends ChannelInitializer<Channel> {
+    private final AnswerDecoder decoder;
+    private final TargetConnection connection;
+
+    Pipeline(AnswerDecoder decoder, TargetConnection connection) {
+      this.decoder = decoder;
+      this.connection = connection;
+    }
+
+    @Override
+    protected void initChannel(Channel channel) {
+      channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
+    }
+  }
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/package-info.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/package-info.java
@@ -1,2 +1,2 @@
-/** Connects to targets and takes their announcements. */
+/** Holds the connections to targets and the listener for their announcements. */
 package org.waxwingbeam.target.net;
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/EntryFixture.java
@@ -0,0 +1,142 @@
+package org.waxwingbeam.tools.fakes;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import org.waxwingbeam.caller.net.CallerServer;
+import org.waxwingbeam.caller.net.ClassifierCache;
+import org.waxwingbeam.caller.net.DispatchGate;
+import org.waxwingbeam.caller.net.ExchangeContext;
+import org.waxwingbeam.caller.net.RequestIds;
+import org.waxwingbeam.caller.net.RetryBudgets;
+import org.waxwingbeam.control.AppliedConfiguration;
+import org.waxwingbeam.metrics.EntryMetrics;
+import org.waxwingbeam.model.Account;
+import org.waxwingbeam.model.AccountName;
+import org.waxwingbeam.model.AccountTerms;
+import org.waxwingbeam.model.Configuration;
+import org.waxwingbeam.model.Parameters;
+import org.waxwingbeam.model.RouteName;
+import org.waxwingbeam.model.RouteRule;
+import org.waxwingbeam.model.ServiceName;
+import org.waxwingbeam.model.Template;
+import org.waxwingbeam.model.TemplateName;
+import org.waxwingbeam.settings.Endpoint;
+import org.waxwingbeam.settings.EntrySettings;
+import org.waxwingbeam.target.Dispatcher;
+import org.waxwingbeam.target.net.TargetConnections;
+
+/**
+ * The request path of an entry instance, from its caller port to its targets, with a configuration
+ * of one template and the client accounts {@code alpha} and {@code beta}.
+ *
+ * @since 0.1.0
+ */
+public final class EntryFixture implements AutoCloseable {
+  /** The host of the client account {@code alpha}. */
+  public static final String HOST = "alpha.orders.example";
+
+  /** The host of the client account {@code beta}. */
+  public static final String OTHER_HOST = "beta.orders.example";
+
+  private static final TemplateName TEMPLATE = new TemplateName("orders");
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final TargetConnections connections = new TargetConnections();
+  private final CallerServer server;
+
+  /**
+   * Starts the entry instance on a free port.
+   *
+   * @param dispatcher chooses targets
+   * @param parameters the template's parameters
+   * @param limits limits on what callers send
+   */
+  public EntryFixture(
+      Dispatcher dispatcher, Parameters parameters, EntrySettings.CallerLimits limits) {
+    AppliedConfiguration applied = new AppliedConfiguration();
+    applied.applyIfNewer(configuration(parameters));
+    ExchangeContext context =
+        new ExchangeContext(
+            new DispatchGate(dispatcher, System::nanoTime),
+            connections,
+            new ClassifierCache(applied),
+            Optional::empty,
+            limit -> limit,
+            new RetryBudgets(),
+            new RequestIds("fixture-"),
+            new EntryMetrics(registry),
+            System::nanoTime);
+    server = new CallerServer(group, new Endpoint("127.0.0.1", 0), limits, context);
+  }
+
+  /** Starts the entry instance with ordinary limits. */
+  public EntryFixture(Dispatcher dispatcher, Parameters parameters) {
+    this(dispatcher, parameters, new EntrySettings.CallerLimits(16_384, 5_000, 60_000));
+  }
+
+  /**
+   * Returns a configuration whose routes are {@code GET /listings/**} (idempotent), {@code GET
+   * /transfers/**} (idempotent, a transfer), {@code POST /uploads/**} (a transfer) and {@code POST
+   * /orders} (not idempotent).
+   */
+  public static Configuration configuration(Parameters parameters) {
+    Template template =
+        new Template(
+            TEMPLATE,
+            new ServiceName("orders"),
+            "{account}.orders.example",
+            List.of(
+                rule("listing", "GET", "/listings/**", true, false),
+                rule("listing-head", "HEAD", "/listings/**", true, false),
+                rule("download", "GET", "/transfers/**", true, true),
+                rule("upload", "POST", "/uploads/**", false, true),
+                rule("order", "POST", "/orders", false, false)),
+            parameters);
+    TreeMap<TemplateName, Template> templates = new TreeMap<>();
+    templates.put(TEMPLATE, template);
+    TreeMap<AccountName, Account> accounts = new TreeMap<>();
+    List.of("alpha", "beta").forEach(name -> add(accounts, new AccountName(name)));
+    return new Configuration(1, templates, accounts, new TreeSet<>(), new TreeMap<>());
+  }
+
+  private static RouteRule rule(
+      String name, String method, String path, boolean idempotent, boolean transfer) {
+    return new RouteRule(new RouteName(name), Optional.of(method), path, idempotent, transfer);
+  }
+
+  private static void add(Map<AccountName, Account> accounts, AccountName name) {
+    AccountTerms terms = new AccountTerms(TEMPLATE, Parameters.NONE);
+    accounts.put(name, new Account(name, List.of(terms)));
+  }
+
+  /** Returns where callers connect. */
+  public Endpoint endpoint() {
+    return server.endpoint();
+  }
+
+  /** Returns the connections to targets. */
+  public TargetConnections connections() {
+    return connections;
+  }
+
+  /** Returns the number of requests that are being served. */
+  public int exchangesUnderWay() {
+    return server.exchangesUnderWay();
+  }
+
+  @Override
+  public void close() {
+    server.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/HostileTarget.java
@@ -0,0 +1,164 @@
+package org.waxwingbeam.tools.fakes;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.waxwingbeam.model.TargetId;
+
+/**
+ * A target whose behaviour on each connection is a script, so that it can break any rule. It counts
+ * how often each request ran.
+ *
+ * <pre>{@code
+ * try (HostileTarget target = new HostileTarget(connection -> {
+ *       connection.readRequest();
+ *       connection.write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\no");
+ *       connection.reset();
+ *     })) {
+ *   dispatcher = new RotatingDispatcher(List.of(target.id()));
+ * }
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+public final class HostileTarget implements AutoCloseable {
+  /** Request header that identifies a request in the count of runs. */
+  public static final String CASE_HEADER = "x-case";
+
+  private final ServerSocket listener;
+  private final Script script;
+  private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+  private final Map<Connection, Boolean> open = new ConcurrentHashMap<>();
+  private final AtomicInteger connections = new AtomicInteger();
+
+  /** Starts to listen on a free port of the loopback address. */
+  public HostileTarget(Script script) throws IOException {
+    this.script = script;
+    this.listener = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+    Thread.ofVirtual().start(this::accept);
+  }
+
+  /** Returns where the target listens. */
+  public TargetId id() {
+    return new TargetId(listener.getInetAddress().getHostAddress(), listener.getLocalPort());
+  }
+
+  /** Returns how often a request has run. */
+  public int runs(String requestCase) {
+    return Optional.ofNullable(runs.get(requestCase)).map(AtomicInteger::get).orElse(0);
+  }
+
+  /** Returns how many connections were accepted. */
+  public int connections() {
+    return connections.get();
+  }
+
+  private void accept() {
+    while (!listener.isClosed()) {
+      try {
+        Connection connection = new Connection(listener.accept(), connections.incrementAndGet());
+        Thread.ofVirtual().start(() -> serve(connection));
+      } catch (IOException closed) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Connection connection) {
+    open.put(connection, true);
+    try (connection) {
+      script.serve(connection);
+    } catch (IOException | UncheckedIOException | InterruptedException gone) {
+      // The other end has left, which every script allows.
+    } finally {
+      open.remove(connection);
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    for (Connection connection : open.keySet()) {
+      connection.close();
+    }
+  }
+
+  /** Says what the target does on one connection. */
+  public interface Script {
+    /** Serves the connection, which is closed afterwards. */
+    void serve(Connection connection) throws IOException, InterruptedException;
+  }
+
+  /** One connection to the target. */
+  public final class Connection implements AutoCloseable {
+    private final Socket socket;
+    private final InputStream in;
+    private final OutputStream out;
+    private final int number;
+
+    Connection(Socket socket, int number) throws IOException {
+      this.socket = socket;
+      this.number = number;
+      this.in = new BufferedInputStream(socket.getInputStream());
+      this.out = socket.getOutputStream();
+      socket.setTcpNoDelay(true);
+    }
+
+    /** Returns 1 for the first connection to the target. */
+    public int number() {
+      return number;
+    }
+
+    /** Reads a request and counts that it ran; empty if the connection has ended. */
+    public Optional<RawRequest> run() throws IOException {
+      Optional<RawRequest> request = RawRequest.read(in);
+      request
+          .flatMap(each -> each.header(CASE_HEADER))
+          .ifPresent(id -> runs.computeIfAbsent(id, key -> new AtomicInteger()).incrementAndGet());
+      return request;
+    }
+
+    /** Reads a request that does not run; empty if the connection has ended. */
+    public Optional<RawRequest> readUnrun() throws IOException {
+      return RawRequest.read(in);
+    }
+
+    /** Reads some bytes of a request. */
+    public void readBytes(int count) throws IOException {
+      in.readNBytes(count);
+    }
+
+    /** Writes text, one byte for each character. */
+    public void write(String text) throws IOException {
+      write(text.getBytes(ISO_8859_1));
+    }
+
+    /** Writes bytes. */
+    public void write(byte[] bytes) throws IOException {
+      out.write(bytes);
+      out.flush();
+    }
+
+    /** Ends the connection with a reset. */
+    public void reset() throws IOException {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
+
+    @Override
+    public void close() throws IOException {
+      socket.close();
+    }
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/RawAnswer.java
@@ -0,0 +1,41 @@
+package org.waxwingbeam.tools.fakes;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.Optional;
+
+/**
+ * A whole answer as it came over a connection.
+ *
+ * @param status the HTTP status
+ * @param message the headers, and the body without its chunk framing
+ * @since 0.1.0
+ */
+public record RawAnswer(int status, RawRequest message) {
+  private static final int STATUS_AT = 9;
+  private static final int STATUS_END = 12;
+
+  /** Returns the value of a header. */
+  public Optional<String> header(String name) {
+    return message.header(name);
+  }
+
+  /** Returns the body, one character for each byte. */
+  public String body() {
+    return message.body();
+  }
+
+  /** Reads an answer; empty if the connection ends before it is whole. */
+  static Optional<RawAnswer> read(InputStream in, boolean toHeadRequest) throws IOException {
+    Optional<String> head = RawRequest.readHead(in);
+    if (head.isEmpty()) {
+      return Optional.empty();
+    }
+    int status = Integer.parseInt(head.get().substring(STATUS_AT, STATUS_END));
+    Optional<String> body =
+        toHeadRequest || status < 200 || status == 204 || status == 304
+            ? Optional.of("")
+            : RawRequest.readBody(in, head.get());
+    return body.map(text -> new RawAnswer(status, new RawRequest(head.get(), text)));
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/package-info.java
@@ -0,0 +1,2 @@
+/** Holds stand-ins at the interfaces, shared by measurements and tests. */
+package org.waxwingbeam.tools.fakes;
