Stand-in targets and the open-loop load command

'waxwingbeam target' runs stand-in targets that speak the target protocol: several in one process, each with slots, a queue, seeded service times and faults that are switched over HTTP for each route. They record what ran, how often and when.

'waxwingbeam load' sends requests whether or not earlier ones were answered, counts latency from the time at which a request was due, and checks the content of every answer, byte for byte for transfers.

--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -1,9 +1,12 @@
 package org.waxwingbeam.tools;
 
 import java.util.List;
+import org.waxwingbeam.daemon.Command;
 import org.waxwingbeam.daemon.CommandTable;
 import org.waxwingbeam.daemon.ExitCode;
+import org.waxwingbeam.tools.load.LoadCommand;
 import org.waxwingbeam.tools.measure.MeasureCommand;
+import org.waxwingbeam.tools.standin.TargetCommand;
 
 /** Starts the program with every command: the shipped daemons' and the tools'. */
 public final class Main {
@@ -11,7 +14,9 @@
 
   /** Runs the command line and exits with its code. */
   public static void main(String[] arguments) throws Exception {
-    CommandTable table = new CommandTable("waxwingbeam", List.of(new MeasureCommand(List.of())));
+    List<Command> commands =
+        List.of(new TargetCommand(), new LoadCommand(), new MeasureCommand(List.of()));
+    CommandTable table = new CommandTable("waxwingbeam", commands);
     ExitCode code = table.run(List.of(arguments), System.out, System.err);
     System.exit(code.value());
   }
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/load/AnswerCheck.java
@@ -0,0 +1,54 @@
+package org.waxwingbeam.tools.load;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.io.ByteArrayOutputStream;
+import org.waxwingbeam.tools.standin.TransferBytes;
+
+/** Checks that the body of an answer is the whole one that the request asked for. */
+final class AnswerCheck {
+  private static final int MAX_TEXT_BYTES = 8 * 1024;
+
+  private final PlannedRequest request;
+  private final long expectedBytes;
+  private final ByteArrayOutputStream text = new ByteArrayOutputStream();
+  private long position;
+  private boolean damaged;
+
+  AnswerCheck(PlannedRequest request) {
+    this.request = request;
+    QueryStringDecoder query = new QueryStringDecoder(request.kind.path());
+    boolean transfer = query.parameters().containsKey("size");
+    this.expectedBytes = transfer ? Long.parseLong(query.parameters().get("size").getFirst()) : -1;
+  }
+
+  void add(ByteBuf part) {
+    while (part.isReadable()) {
+      byte next = part.readByte();
+      if (expectedBytes >= 0) {
+        damaged |= next != TransferBytes.at(position);
+      } else if (position < MAX_TEXT_BYTES) {
+        text.write(next);
+      }
+      position++;
+    }
+  }
+
+  long bytes() {
+    return position;
+  }
+
+  boolean isRight() {
+    if (request.kind.method().equals("HEAD")) {
+      return position == 0;
+    }
+    if (expectedBytes >= 0) {
+      return !damaged && position == expectedBytes;
+    }
+    String body = text.toString(UTF_8);
+    return body.startsWith("token=" + request.token + " ")
+        && body.contains(" uri=" + request.kind.path() + " ");
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/load/AnswerSummary.java
@@ -0,0 +1,36 @@
+package org.waxwingbeam.tools.load;
+
+import org.waxwingbeam.tools.load.RequestOutcome.Kind;
+
+/** Holds what the load command keeps of one answer. */
+record AnswerSummary(
+    Kind kind,
+    int status,
+    String error,
+    String run,
+    String dataCentre,
+    String version,
+    long bytes) {
+
+  static AnswerSummary none(Kind kind) {
+    return new AnswerSummary(kind, 0, "", "", "", "", 0);
+  }
+
+  RequestOutcome outcome(PlannedRequest request, long latencyNanos) {
+    return new RequestOutcome(
+        request.token,
+        request.key,
+        request.kind.method(),
+        request.kind.path(),
+        request.entry,
+        kind,
+        status,
+        error,
+        run,
+        dataCentre,
+        version,
+        request.dueMs,
+        latencyNanos,
+        bytes);
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/load/EntryConnections.java
@@ -0,0 +1,125 @@
+package org.waxwingbeam.tools.load;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.waxwingbeam.settings.Endpoint;
+import org.waxwingbeam.tools.Futures;
+import org.waxwingbeam.tools.load.RequestOutcome.Kind;
+
+/** Holds one driver's connections to one entry instance, each with one exchange at a time. */
+final class EntryConnections {
+  private final LoadDriver driver;
+  private final LoadPlan plan;
+  private final Endpoint endpoint;
+  private final Deque<ExchangeHandler> idle = new ArrayDeque<>();
+  private final Deque<PlannedRequest> waiting = new ArrayDeque<>();
+  private final Set<Channel> open = new HashSet<>();
+  private final Map<PlannedRequest, ExchangeHandler> underWay = new HashMap<>();
+  private int connecting;
+
+  EntryConnections(LoadDriver driver, LoadPlan plan, Endpoint endpoint) {
+    this.driver = driver;
+    this.plan = plan;
+    this.endpoint = endpoint;
+  }
+
+  /** Sends a request on a connection that is free, or keeps it until one is. */
+  void send(PlannedRequest request) {
+    waiting.add(request);
+    serve();
+  }
+
+  /** Gives a request up; its connection can't be used again. */
+  void timeOut(PlannedRequest request) {
+    waiting.remove(request);
+    driver.endUnanswered(request, Kind.TIMED_OUT);
+    ExchangeHandler handler = underWay.remove(request);
+    if (handler != null) {
+      Futures.ignore(handler.channel().close());
+    }
+  }
+
+  void ended(PlannedRequest request, AnswerSummary answer) {
+    underWay.remove(request);
+    driver.end(request, answer);
+  }
+
+  void free(ExchangeHandler handler) {
+    idle.push(handler);
+    serve();
+  }
+
+  void closed(ExchangeHandler handler) {
+    idle.remove(handler);
+    open.remove(handler.channel());
+    serve();
+  }
+
+  void close() {
+    List.copyOf(open).forEach(channel -> Futures.ignore(channel.close()));
+  }
+
+  private void serve() {
+    while (!waiting.isEmpty() && !idle.isEmpty()) {
+      ExchangeHandler handler = idle.pop();
+      PlannedRequest request = waiting.remove();
+      underWay.put(request, handler);
+      handler.begin(request);
+    }
+    while (waiting.size() > connecting && open.size() + connecting < plan.connections()) {
+      connect();
+    }
+  }
+
+  private void connect() {
+    connecting++;
+    ExchangeHandler handler = new ExchangeHandler(this, plan);
+    ChannelFuture connected = bootstrap(handler).connect(endpoint.socketAddress());
+    Futures.ignore(
+        connected.addListener(
+            done -> {
+              connecting--;
+              if (done.isSuccess()) {
+                open.add(connected.channel());
+                free(handler);
+              } else {
+                connectFailed();
+              }
+            }));
+  }
+
+  private void connectFailed() {
+    PlannedRequest first = waiting.poll();
+    if (first != null) {
+      driver.endUnanswered(first, Kind.CONNECT_FAILED);
+    }
+  }
+
+  private Bootstrap bootstrap(ExchangeHandler handler) {
+    return new Bootstrap()
+        .group(driver.loop())
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) plan.timeoutMs())
+        .handler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                channel.pipeline().addLast(new HttpClientCodec()).addLast(handler);
+              }
+            });
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/load/LoadCommand.java
@@ -0,0 +1,161 @@
+package org.waxwingbeam.tools.load;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.io.Writer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.waxwingbeam.daemon.Command;
+import org.waxwingbeam.daemon.ExitCode;
+import org.waxwingbeam.tools.Endpoints;
+import org.waxwingbeam.tools.load.LoadPlan.Arrivals;
+import org.waxwingbeam.tools.load.LoadPlan.Header;
+import org.waxwingbeam.tools.load.LoadPlan.RequestKind;
+
+/**
+ * Sends requests at a steady rate and prints what came back.
+ *
+ * @since 0.1.0
+ */
+public final class LoadCommand implements Command {
+  private static final String HELP =
+      """
+      Usage: waxwingbeam load --entry HOST:PORT --request REQUEST [OPTION]...
+
+      Sends requests at a steady rate, whether or not earlier ones have been answered. Latency
+      counts from the time at which a request was due.
+
+      Options:
+        --entry HOST:PORT    where to send requests; repeatable, used in turn
+        --request REQUEST    'METHOD HOST/PATH [WEIGHT]'; repeatable, drawn by weight
+        --header 'NAME: V'   a further header of every request; repeatable
+        --rate N             requests a second (default: 100)
+        --arrivals KIND      poisson or uniform (default: poisson)
+        --duration SECONDS   when to stop (default: 10)
+        --count N            stop after so many requests
+        --connections N      connections to each entry, for each thread (default: 32)
+        --timeout MS         when a request counts as unanswered (default: 10000)
+        --keys               send an idempotency key with each request but GET and HEAD
+        --body BYTES         size of the body of POST and PUT requests (default: 0)
+        --threads N          event loops (default: 1)
+        --seed N             starts the random numbers (default: 1)
+        --outcomes FILE      write one JSON line for each request
+        --format FORMAT      text or json (default: text)
+        --help               print this text
+      """;
+
+  private final OptionParser parser = new OptionParser(false);
+  private final OptionSpec<String> entries = text("entry");
+  private final OptionSpec<String> requests = text("request");
+  private final OptionSpec<String> headers = text("header");
+  private final OptionSpec<Double> rate = number("rate", 100);
+  private final OptionSpec<String> arrivals =
+      parser.accepts("arrivals").withRequiredArg().defaultsTo("poisson");
+  private final OptionSpec<Double> duration = number("duration", 10);
+  private final OptionSpec<Long> count = whole("count", Long.MAX_VALUE);
+  private final OptionSpec<Long> connections = whole("connections", 32);
+  private final OptionSpec<Long> timeout = whole("timeout", 10_000);
+  private final OptionSpec<Void> keys = parser.accepts("keys");
+  private final OptionSpec<Long> body = whole("body", 0);
+  private final OptionSpec<Long> threads = whole("threads", 1);
+  private final OptionSpec<Long> seed = whole("seed", 1);
+  private final OptionSpec<String> outcomes = text("outcomes");
+  private final OptionSpec<String> format =
+      parser.accepts("format").withRequiredArg().defaultsTo("text");
+  private final OptionSpec<Void> help = parser.accepts("help");
+
+  @Override
+  public String name() {
+    return "load";
+  }
+
+  @Override
+  public String summary() {
+    return "send requests at a steady rate and check the answers";
+  }
+
+  @Override
+  public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) throws Exception {
+    LoadPlan plan;
+    OptionSet options;
+    try {
+      options = parser.parse(arguments.toArray(String[]::new));
+      if (options.has(help)) {
+        out.print(HELP);
+        return ExitCode.OK;
+      }
+      plan = plan(options);
+    } catch (OptionException | IllegalArgumentException wrong) {
+      err.println("waxwingbeam load: " + wrong.getMessage());
+      return ExitCode.USAGE;
+    }
+    LoadResult result = run(plan, options);
+    LoadPrinter printer = new LoadPrinter(out);
+    if (options.valueOf(format).equals("json")) {
+      printer.printJson(result);
+    } else {
+      printer.printText(result);
+    }
+    return ExitCode.OK;
+  }
+
+  private LoadResult run(LoadPlan plan, OptionSet options) throws IOException {
+    if (!options.has(outcomes)) {
+      return LoadGenerator.run(plan, outcome -> {});
+    }
+    Path file = Path.of(options.valueOf(outcomes));
+    try (Writer writer = Files.newBufferedWriter(file);
+        PrintWriter lines = new PrintWriter(writer)) {
+      return LoadGenerator.run(plan, outcome -> lines.println(outcome.json()));
+    }
+  }
+
+  private LoadPlan plan(OptionSet options) {
+    if (!List.of("text", "json").contains(options.valueOf(format))) {
+      throw new IllegalArgumentException(
+          "--format '%s': expected text or json".formatted(options.valueOf(format)));
+    }
+    return new LoadPlan(
+        options.valuesOf(entries).stream().map(Endpoints::parse).toList(),
+        options.valuesOf(requests).stream().map(RequestKind::parse).toList(),
+        options.valuesOf(headers).stream().map(Header::parse).toList(),
+        options.valueOf(rate),
+        arrivals(options.valueOf(arrivals)),
+        (long) (options.valueOf(duration) * 1_000),
+        options.valueOf(count),
+        options.valueOf(connections).intValue(),
+        options.valueOf(timeout),
+        options.has(keys),
+        options.valueOf(body).intValue(),
+        options.valueOf(threads).intValue(),
+        options.valueOf(seed));
+  }
+
+  private static Arrivals arrivals(String text) {
+    return switch (text) {
+      case "poisson", "uniform" -> Arrivals.valueOf(text.toUpperCase(Locale.ROOT));
+      default ->
+          throw new IllegalArgumentException(
+              "--arrivals '%s': expected poisson or uniform".formatted(text));
+    };
+  }
+
+  private OptionSpec<String> text(String name) {
+    return parser.accepts(name).withRequiredArg();
+  }
+
+  private OptionSpec<Double> number(String name, double otherwise) {
+    return parser.accepts(name).withRequiredArg().ofType(Double.class).defaultsTo(otherwise);
+  }
+
+  private OptionSpec<Long> whole(String name, long otherwise) {
+    return parser.accepts(name).withRequiredArg().ofType(Long.class).defaultsTo(otherwise);
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/standin/ControlHandler.java
@@ -0,0 +1,151 @@
+package org.waxwingbeam.tools.standin;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandler.Sharable;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.waxwingbeam.tools.Futures;
+
+/**
+ * Serves the control port of the stand-in targets.
+ *
+ * <p>{@code POST /set?KEY=VALUE&...} switches faults, {@code POST /crash} crashes targets, {@code
+ * POST /clear} empties the record; {@code GET /record} and {@code GET /summary} read it. {@code
+ * port}, {@code service}, {@code version} and {@code data-centre} select targets, all if none is
+ * given; {@code route} gives the path prefix to which faults apply.
+ */
+@Sharable
+final class ControlHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+  private static final Set<String> SELECTORS =
+      Set.of("port", "service", "version", "data-centre", "route");
+  private static final Set<String> SWITCHES = Set.of("cold", "cold-refuses", "drain", "lie");
+
+  private final StandInProcess process;
+
+  ControlHandler(StandInProcess process) {
+    this.process = process;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+    QueryStringDecoder query = new QueryStringDecoder(request.uri());
+    Map<String, String> values = new TreeMap<>();
+    query.parameters().forEach((key, all) -> values.put(key, all.getLast()));
+    boolean keepAlive = HttpUtil.isKeepAlive(request);
+    String command = request.method().name() + " " + query.path();
+    CompletableFuture<String> result;
+    try {
+      result = run(command, values);
+    } catch (IllegalArgumentException wrong) {
+      write(context, HttpResponseStatus.BAD_REQUEST, wrong.getMessage() + "\n", keepAlive);
+      return;
+    }
+    Futures.ignore(
+        result.thenAccept(text -> write(context, HttpResponseStatus.OK, text + "\n", keepAlive)));
+  }
+
+  private CompletableFuture<String> run(String command, Map<String, String> values) {
+    List<StandInTarget> targets = process.targets().filter(each -> matches(each, values)).toList();
+    return switch (command) {
+      case "POST /set" -> set(targets, values);
+      case "POST /crash" -> onEach(targets, StandInTarget::crash);
+      case "POST /clear" -> onEach(targets, StandInTarget::clearRecord);
+      case "GET /record" -> read(targets, true);
+      case "GET /summary" -> read(targets, false);
+      default ->
+          throw new IllegalArgumentException(
+              "unknown command '%s': expected POST /set, POST /crash, POST /clear, GET /record"
+                      .formatted(command)
+                  + " or GET /summary");
+    };
+  }
+
+  private CompletableFuture<String> set(List<StandInTarget> targets, Map<String, String> values) {
+    Map<String, String> settings = new TreeMap<>(values);
+    settings.keySet().removeAll(SELECTORS);
+    settings.forEach(ControlHandler::check);
+    String route = values.getOrDefault("route", "");
+    return onEach(
+            targets, target -> settings.forEach((key, value) -> target.set(route, key, value)))
+        .thenApply(
+            count -> {
+              process.announceNow();
+              return count;
+            });
+  }
+
+  private static void check(String key, String value) {
+    if (!SWITCHES.contains(key)) {
+      Faults.NONE.with(key, value);
+    }
+  }
+
+  private static boolean matches(StandInTarget target, Map<String, String> values) {
+    TargetSpec spec = target.spec();
+    return values.getOrDefault("port", "" + spec.port()).equals("" + spec.port())
+        && values.getOrDefault("service", spec.service()).equals(spec.service())
+        && values.getOrDefault("version", spec.version()).equals(spec.version())
+        && values.getOrDefault("data-centre", spec.dataCentre()).equals(spec.dataCentre());
+  }
+
+  private static CompletableFuture<String> onEach(
+      List<StandInTarget> targets, java.util.function.Consumer<StandInTarget> action) {
+    Stream<CompletableFuture<Void>> all =
+        targets.stream()
+            .map(each -> CompletableFuture.runAsync(() -> action.accept(each), each.loop()));
+    return CompletableFuture.allOf(all.toArray(CompletableFuture[]::new))
+        .thenApply(nothing -> "{\"targets\":" + targets.size() + "}");
+  }
+
+  private static CompletableFuture<String> read(List<StandInTarget> targets, boolean withRuns) {
+    List<CompletableFuture<String>> parts =
+        targets.stream()
+            .map(each -> CompletableFuture.supplyAsync(() -> each.json(withRuns), each.loop()))
+            .toList();
+    return CompletableFuture.allOf(parts.toArray(CompletableFuture[]::new))
+        .thenApply(
+            nothing ->
+                parts.stream()
+                    .map(CompletableFuture::join)
+                    .collect(Collectors.joining(",\n", "{\"targets\":[\n", "\n]}")));
+  }
+
+  private static void write(
+      ChannelHandlerContext context, HttpResponseStatus status, String text, boolean keepAlive) {
+    DefaultFullHttpResponse answer =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(text, UTF_8));
+    answer
+        .headers()
+        .set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes())
+        .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+    if (keepAlive) {
+      Futures.ignore(context.writeAndFlush(answer));
+    } else {
+      Futures.ignore(
+          context.writeAndFlush(answer).addListener(io.netty.channel.ChannelFutureListener.CLOSE));
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    Futures.ignore(context.close());
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/standin/TargetState.java
@@ -0,0 +1,109 @@
+package org.waxwingbeam.tools.standin;
+
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import org.waxwingbeam.target.LoadReport;
+
+/** Holds what can be switched at a stand-in target, and draws service times from it. */
+final class TargetState {
+  private static final double COLD_FACTOR = 2;
+  private static final double COLLAPSE_FACTOR = 20;
+  private static final double NANOS_PER_MS = 1e6;
+
+  private final TargetSpec spec;
+  private final RandomGenerator random;
+  private final TreeMap<String, Faults> faultsByPrefix = new TreeMap<>();
+  private boolean cold;
+  private boolean coldRefuses;
+  private boolean draining;
+  private boolean lies;
+  private long coldSinceNanos;
+
+  TargetState(TargetSpec spec, RandomGenerator random, long nowNanos) {
+    this.spec = spec;
+    this.random = random;
+    this.cold = spec.cold();
+    this.coldSinceNanos = nowNanos;
+    faultsByPrefix.put("", Faults.NONE);
+  }
+
+  /** Returns the faults of the longest path prefix that has been given any. */
+  Faults faultsFor(String path) {
+    return faultsByPrefix.descendingMap().entrySet().stream()
+        .filter(entry -> path.startsWith(entry.getKey()))
+        .findFirst()
+        .orElseThrow()
+        .getValue();
+  }
+
+  /** Changes one fault, or one switch of the whole target. */
+  void set(String prefix, String key, String value, long nowNanos) {
+    switch (key) {
+      case "cold" -> setCold(Boolean.parseBoolean(value), nowNanos);
+      case "cold-refuses" -> coldRefuses = Boolean.parseBoolean(value);
+      case "drain" -> draining = Boolean.parseBoolean(value);
+      case "lie" -> lies = Boolean.parseBoolean(value);
+      default ->
+          faultsByPrefix.merge(
+              prefix, Faults.NONE.with(key, value), (old, ignored) -> old.with(key, value));
+    }
+  }
+
+  void setCold(boolean value, long nowNanos) {
+    cold = value;
+    coldSinceNanos = nowNanos;
+  }
+
+  boolean isCold(long nowNanos) {
+    boolean warmedUp =
+        spec.warmUpMs() > 0 && nowNanos - coldSinceNanos >= spec.warmUpMs() * NANOS_PER_MS;
+    if (cold && warmedUp) {
+      cold = false;
+    }
+    return cold;
+  }
+
+  boolean isDraining() {
+    return draining;
+  }
+
+  /** Returns why a request is refused unrun, or empty text. */
+  String refusal(Faults faults, int inFlight, long nowNanos) {
+    if (draining) {
+      return "draining";
+    }
+    if (coldRefuses && isCold(nowNanos) && inFlight >= spec.coldCapacity()) {
+      return "cold";
+    }
+    return random.nextDouble() < faults.shed() ? "overloaded" : "";
+  }
+
+  boolean fails(Faults faults, int inFlight) {
+    return inFlight > faults.failAbove() && random.nextDouble() < faults.fail();
+  }
+
+  boolean truncates(Faults faults) {
+    return random.nextDouble() < faults.truncate();
+  }
+
+  /** Draws the time for one request, in nanoseconds. */
+  long serviceNanos(Faults faults, int inFlight, long nowNanos) {
+    double factor = inFlight > faults.slowAbove() ? faults.slow() : 1;
+    if (isCold(nowNanos)) {
+      factor *= inFlight > spec.coldCapacity() ? COLLAPSE_FACTOR : COLD_FACTOR;
+    }
+    double drawn =
+        switch (spec.distribution()) {
+          case FIXED -> 1;
+          case EXPONENTIAL -> random.nextExponential();
+        };
+    return (long) ((drawn * spec.serviceTimeMs() * factor + faults.lateMs()) * NANOS_PER_MS);
+  }
+
+  /** Returns what the target says of its load; a lying target says that it is idle. */
+  LoadReport report(int inFlight, int queued) {
+    return lies
+        ? new LoadReport(0, 0, spec.slots())
+        : new LoadReport(inFlight, queued, spec.slots());
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/load/AnswerCheckTest.java
@@ -0,0 +1,34 @@
+package org.waxwingbeam.tools.load;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import io.netty.buffer.Unpooled;
+import org.junit.jupiter.api.Test;
+import org.waxwingbeam.tools.load.LoadPlan.RequestKind;
+
+/** Checks which bodies count as right answers. */
+class AnswerCheckTest {
+  @Test
+  void onlyTheAnswerWithTheRequestsTokenAndPathIsRight() {
+    assertThat(isRight("/list?page=2", "token=t1 id= method=GET uri=/list?page=2 body=0")).isTrue();
+    assertThat(isRight("/list?page=2", "token=t2 id= method=GET uri=/list?page=2 body=0"))
+        .isFalse();
+    assertThat(isRight("/list?page=2", "token=t1 id= method=GET uri=/list?page=3 body=0"))
+        .isFalse();
+  }
+
+  @Test
+  void transferWithMissingOrForeignBytesIsWrong() {
+    assertThat(isRight("/tape?size=3", "\u0000\u0001\u0002")).isTrue();
+    assertThat(isRight("/tape?size=3", "\u0000\u0001")).isFalse();
+    assertThat(isRight("/tape?size=3", "\u0000\u0002\u0001")).isFalse();
+  }
+
+  private static boolean isRight(String path, String body) {
+    RequestKind kind = new RequestKind("GET", "a.example", path, 1);
+    AnswerCheck check = new AnswerCheck(new PlannedRequest(kind, 0, "t1", "", 0, 0));
+    check.add(Unpooled.copiedBuffer(body, UTF_8));
+    return check.isRight();
+  }
+}
