The claim table: a keyed request runs at most once across entry instances

Purpose: a deterministic state machine in the control log that grants a key once, remembers the outcome for the template's retention, and counts a claim as lost when its entry instance is gone or its time has run out.

Ruled out: releasing a lost claim (it may have run); trusting the entry's attempt number without the entry's name.

--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/ClaimCodec.java
@@ -0,0 +1,109 @@
+package org.waxwingbeam.control;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.HexFormat;
+import org.waxwingbeam.model.InstanceName;
+import org.waxwingbeam.wire.claims.Claim;
+import org.waxwingbeam.wire.claims.ClaimCommand;
+import org.waxwingbeam.wire.claims.ClaimHolder;
+import org.waxwingbeam.wire.claims.ClaimReply;
+import org.waxwingbeam.wire.claims.EntryGone;
+import org.waxwingbeam.wire.claims.KeptAnswer;
+import org.waxwingbeam.wire.claims.Settle;
+
+/**
+ * Encodes commands of the claim table and decodes its replies.
+ *
+ * @since 0.1.0
+ */
+public final class ClaimCodec {
+  private ClaimCodec() {}
+
+  /** Encodes the claim of a key. */
+  public static ByteString encode(ClaimRequest request) {
+    Claim claim =
+        Claim.newBuilder()
+            .setAccount(request.account().value())
+            .setKey(request.key())
+            .setDigest(ByteString.copyFrom(HexFormat.of().parseHex(request.digest())))
+            .setHolder(holder(request.entry(), request.attempt()))
+            .setRetentionMs(request.retentionMs())
+            .setRunningMs(request.runningMs())
+            .build();
+    return ClaimCommand.newBuilder().setClaim(claim).build().toByteString();
+  }
+
+  /** Encodes the outcome of a claimed request. */
+  public static ByteString encode(ClaimSettlement settlement) {
+    Settle.Builder settle =
+        Settle.newBuilder()
+            .setAccount(settlement.account().value())
+            .setKey(settlement.key())
+            .setHolder(holder(settlement.entry(), settlement.attempt()))
+            .setResult(result(settlement.result()));
+    settlement.answer().map(ClaimCodec::kept).ifPresent(settle::setAnswer);
+    return ClaimCommand.newBuilder().setSettle(settle).build().toByteString();
+  }
+
+  /**
+   * Encodes the end of an entry instance's lease: what it had running is lost.
+   *
+   * @param entry the entry instance
+   */
+  public static ByteString encodeEntryGone(InstanceName entry) {
+    EntryGone gone = EntryGone.newBuilder().setEntry(entry.value()).build();
+    return ClaimCommand.newBuilder().setEntryGone(gone).build().toByteString();
+  }
+
+  private static ClaimHolder holder(InstanceName entry, long attempt) {
+    return ClaimHolder.newBuilder().setEntry(entry.value()).setAttempt(attempt).build();
+  }
+
+  private static Settle.Result result(ClaimSettlement.Result result) {
+    return switch (result) {
+      case RAN -> Settle.Result.RAN;
+      case DID_NOT_RUN -> Settle.Result.DID_NOT_RUN;
+      case UNKNOWN -> Settle.Result.UNKNOWN;
+    };
+  }
+
+  private static KeptAnswer kept(RecordedAnswer answer) {
+    return KeptAnswer.newBuilder()
+        .setStatus(answer.status())
+        .setContentType(answer.contentType())
+        .setBody(answer.body())
+        .build();
+  }
+
+  /** Decodes the reply to a claim. A reply that cannot be read counts as none. */
+  public static ClaimAnswer decodeClaimReply(ByteString reply) {
+    ClaimReply read = parse(reply);
+    return switch (read.getResult()) {
+      case GRANTED -> new ClaimAnswer.Granted();
+      case RECORDED -> new ClaimAnswer.Recorded(recorded(read.getAnswer()));
+      case ALREADY_RUNNING -> new ClaimAnswer.AlreadyRunning();
+      case ALREADY_RUN -> new ClaimAnswer.AlreadyRun();
+      case OUTCOME_UNKNOWN -> new ClaimAnswer.OutcomeUnknown();
+      case KEY_REUSED -> new ClaimAnswer.KeyReused();
+      default -> new ClaimAnswer.Unavailable();
+    };
+  }
+
+  /** Decodes the reply to a settlement: whether the table holds the outcome. */
+  public static boolean decodeSettleReply(ByteString reply) {
+    return parse(reply).getResult() == ClaimReply.Result.NOTED;
+  }
+
+  private static ClaimReply parse(ByteString reply) {
+    try {
+      return ClaimReply.parseFrom(reply);
+    } catch (InvalidProtocolBufferException malformed) {
+      return ClaimReply.getDefaultInstance();
+    }
+  }
+
+  private static RecordedAnswer recorded(KeptAnswer answer) {
+    return new RecordedAnswer(answer.getStatus(), answer.getContentType(), answer.getBody());
+  }
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/ClaimRequest.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/ClaimRequest.java
@@ -10,9 +10,10 @@
  * @param key the caller's idempotency key
  * @param digest digest of method, path and body, as lower-case hexadecimal text
  * @param entry the entry instance that asks
- * @param attempt distinguishes the claims of one entry instance; the same claim sent again gets the
- *     same answer
+ * @param attempt distinguishes the claims of one entry instance, across its restarts as well; the
+ *     same claim sent again gets the same answer
  * @param retentionMs how long the outcome is remembered, in milliseconds
+ * @param runningMs how long the request may run before its outcome counts as lost, in milliseconds
  * @param timeoutMs how long to wait for the control log, in milliseconds
  * @since 0.1.0
  */
@@ -23,4 +24,5 @@
     InstanceName entry,
     long attempt,
     long retentionMs,
+    long runningMs,
     long timeoutMs) {}
