Claims before sending, poison requests, hedging

Purpose: a keyed non-idempotent request claims its key before the first byte goes out and reports its outcome once; a request whose connection died at two targets, one after the other, is refused; an idempotent request that is slow is sent to a second target inside the retry budget.

Seen failing first: with the outcome reported as 'did not run' by default (the report of a whole answer was missing), answerIsReplayedAtAnotherEntryInstance, longAnswerIsNotKeptButTheRequestRunsOnce, keyWithAnotherBodyIsRefused and callerThatLeavesFindsTheOutcomeLater failed, the last with 2 runs of one key. The default is now 'unknown'.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jboss.logging.Logger;
+import org.waxwingbeam.caller.PoisonList;
 import org.waxwingbeam.caller.net.CallerServer;
 import org.waxwingbeam.caller.net.ClassifierCache;
 import org.waxwingbeam.caller.net.DispatchGate;
@@ -20,6 +21,7 @@
 import org.waxwingbeam.caller.net.RequestIds;
 import org.waxwingbeam.caller.net.RetryBudgets;
 import org.waxwingbeam.control.AppliedConfiguration;
+import org.waxwingbeam.control.net.ControlClaimClient;
 import org.waxwingbeam.control.net.ControlClient;
 import org.waxwingbeam.daemon.TokenFile;
 import org.waxwingbeam.metrics.EntryMetrics;
@@ -59,6 +61,7 @@
   private final AppliedConfiguration applied = new AppliedConfiguration();
   private final TargetRegistry registry = new TargetRegistry();
   private final List<Future<?>> timers = new ArrayList<>();
+  private final PoisonList poison = new PoisonList();
   private final AtomicBoolean stopping = new AtomicBoolean();
   private final ControlClient control;
   private final AnnouncementServer announcements;
@@ -136,7 +139,10 @@
         this::refusal,
         this::share,
         new RetryBudgets(),
-        new RequestIds(requestPrefix()),
+        new RequestIds(requestPrefix(), System.currentTimeMillis()),
+        settings.instance(),
+        new ControlClaimClient(control, group.next()),
+        poison,
         new EntryMetrics(PrometheusRegistry.defaultRegistry),
         System::nanoTime);
   }
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/PoisonRecord.java
@@ -0,0 +1,23 @@
+package org.waxwingbeam.caller;
+
+import java.util.Set;
+import org.waxwingbeam.model.TargetId;
+
+/**
+ * Says at which targets connections died under requests with one fingerprint. Entry instances share
+ * these records.
+ *
+ * @param fingerprint digest of client account, method, path and body, as hexadecimal text
+ * @param prefix digest of client account, method and path alone, as hexadecimal text
+ * @param targets where connections died, one after another
+ * @param ageMs time since the last of them, in milliseconds
+ * @param retentionMs how long a poison request is refused, in milliseconds
+ * @since 0.1.0
+ */
+public record PoisonRecord(
+    String fingerprint, String prefix, Set<TargetId> targets, long ageMs, long retentionMs) {
+  /** Copies the set of targets. */
+  public PoisonRecord {
+    targets = Set.copyOf(targets);
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/RequestDigest.java
@@ -0,0 +1,53 @@
+package org.waxwingbeam.caller;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.nio.ByteBuffer;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.List;
+import org.waxwingbeam.model.AccountName;
+
+/**
+ * Computes digests that identify a request by its contents.
+ *
+ * @since 0.1.0
+ */
+public final class RequestDigest {
+  private static final String ALGORITHM = "SHA-256";
+
+  private RequestDigest() {}
+
+  /** Returns the digest of method, path and body, as hexadecimal text. */
+  public static String ofRequest(String method, String path, List<ByteBuffer> body) {
+    MessageDigest digest = begin(method + " " + path + "\n");
+    body.forEach(digest::update);
+    return HexFormat.of().formatHex(digest.digest());
+  }
+
+  /** Returns the digest of client account, method and path, as hexadecimal text. */
+  public static String prefix(AccountName account, String method, String path) {
+    MessageDigest digest = begin(account + "\n" + method + " " + path + "\n");
+    return HexFormat.of().formatHex(digest.digest());
+  }
+
+  /** Returns the fingerprint of a request with the body that has arrived. */
+  public static PoisonList.Fingerprint fingerprint(
+      AccountName account, String method, String path, List<ByteBuffer> body) {
+    String prefix = prefix(account, method, path);
+    MessageDigest digest = begin(prefix + "\n");
+    body.forEach(digest::update);
+    return new PoisonList.Fingerprint(HexFormat.of().formatHex(digest.digest()), prefix);
+  }
+
+  private static MessageDigest begin(String text) {
+    try {
+      MessageDigest digest = MessageDigest.getInstance(ALGORITHM);
+      digest.update(text.getBytes(UTF_8));
+      return digest;
+    } catch (NoSuchAlgorithmException missing) {
+      throw new IllegalStateException("every JDK has " + ALGORITHM, missing);
+    }
+  }
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Attempt.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Attempt.java
@@ -160,6 +160,11 @@
     return connection != null && connection.bytesWritten();
   }
 
+  /** Returns when the request was sent, on the entry's monotonic clock. */
+  long sentNanos() {
+    return sentNanos;
+  }
+
   /** Returns the target, once the dispatcher has given one. */
   Optional<TargetId> target() {
     return Optional.ofNullable(target);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerConnection.java
@@ -1,5 +1,6 @@
 package org.waxwingbeam.caller.net;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -24,7 +25,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.waxwingbeam.caller.CallerProtocol;
 import org.waxwingbeam.caller.Classification;
+import org.waxwingbeam.control.RecordedAnswer;
 import org.waxwingbeam.model.ErrorKind;
 import org.waxwingbeam.model.Parameter;
 import org.waxwingbeam.settings.EntrySettings;
@@ -89,7 +92,8 @@
   }
 
   boolean isWritable() {
-    return channel.isWritable();
+    // What is written after the caller has left is dropped at once.
+    return !channel.isActive() || channel.isWritable();
   }
 
   /** Takes no further request: closes the connection now, or after the current exchange. */
@@ -266,11 +270,31 @@
     endExchange();
   }
 
+  /** Answers the current request with the answer that an earlier run of it got. */
+  void answerRecorded(RecordedAnswer recorded) {
+    FullHttpResponse answer =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(recorded.status()),
+            Unpooled.wrappedBuffer(recorded.body().asReadOnlyByteBuffer()));
+    if (!recorded.contentType().isEmpty()) {
+      answer.headers().set(HttpHeaderNames.CONTENT_TYPE, recorded.contentType());
+    }
+    answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, recorded.body().size());
+    answer.headers().set(CallerProtocol.REPLAYED_HEADER, "yes");
+    setConnectionHeader(answer);
+    channel.write(answer);
+    endExchange();
+  }
+
   private void endExchange() {
     exchange = null;
     exchangeReads = true;
     idleSinceNanos = context.clock().getAsLong();
     channel.flush();
+    if (closing) {
+      return;
+    }
     if (!keepAlive) {
       closeAfterFlush();
     } else {
@@ -311,7 +335,7 @@
     closing = true;
     releasePending();
     channel
-        .writeAndFlush(io.netty.buffer.Unpooled.EMPTY_BUFFER)
+        .writeAndFlush(Unpooled.EMPTY_BUFFER)
         .addListener(
             (ChannelFutureListener)
                 future -> {
@@ -344,7 +368,6 @@
     releasePending();
     if (exchange != null) {
       exchange.onCallerGone();
-      exchange = null;
     }
   }
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -16,6 +16,9 @@
 import org.waxwingbeam.caller.RequestTerms;
 import org.waxwingbeam.caller.RetryPolicy;
 import org.waxwingbeam.caller.RetryReason;
+import org.waxwingbeam.control.ClaimAnswer;
+import org.waxwingbeam.control.ClaimSettlement;
+import org.waxwingbeam.control.RecordedAnswer;
 import org.waxwingbeam.model.ErrorKind;
 import org.waxwingbeam.model.Parameter;
 import org.waxwingbeam.model.TargetId;
@@ -42,10 +45,13 @@
   private final List<Attempt> active = new ArrayList<>(2);
   private final Set<TargetId> used = new HashSet<>(2);
   private final ExchangeLimits limits;
+  private final Optional<KeyClaim> claim;
+  private final PoisonCheck poison;
 
   private Optional<AttemptFailure> uncertain = Optional.empty();
   private Attempt answering;
   private int attempts;
+  private boolean prepared;
   private boolean ended;
 
   Exchange(
@@ -62,12 +68,57 @@
     this.head = head;
     this.requestId = context.ids().nextRequest();
     this.limits = new ExchangeLimits(terms, mark, context.clock().getAsLong());
+    this.claim =
+        mark.key().filter(key -> !terms.idempotent()).map(key -> new KeyClaim(context, terms, key));
+    this.poison = new PoisonCheck(context, terms, head, body);
     EndToEndHeaders.keepInRequest(head.headers());
   }
 
-  /** Starts the first attempt. */
+  /** Starts the first attempt, or waits for the body if the request must be known whole. */
   void start() {
-    startAttempt();
+    if (claim.isPresent() || poison.needsBody()) {
+      caller.continueIfExpected();
+    } else {
+      prepared = true;
+      startAttempt();
+    }
+  }
+
+  private void prepareIfWhole() {
+    if (body.exceedsKeptLimit() && claim.isPresent()) {
+      answer(ErrorKind.REQUEST_TOO_LARGE, 0);
+    } else if (body.isWhole() || body.exceedsKeptLimit()) {
+      prepared = true;
+      prepare();
+    }
+  }
+
+  private void prepare() {
+    if (poison.isPoison()) {
+      answer(ErrorKind.POISON_REQUEST, 0);
+    } else if (claim.isPresent()) {
+      long leftMs = limits.headLeftNanos(context.clock().getAsLong()) / NANOS_PER_MS;
+      claim.get().claim(head, body, leftMs, loop, this::onClaim);
+    } else {
+      startAttempt();
+    }
+  }
+
+  private void onClaim(ClaimAnswer claimAnswer) {
+    switch (claimAnswer) {
+      case ClaimAnswer.Granted granted -> startAttempt();
+      case ClaimAnswer.Recorded recorded -> replay(recorded.answer());
+      case ClaimAnswer.AlreadyRunning running -> answer(ErrorKind.ALREADY_RUNNING, 0);
+      case ClaimAnswer.AlreadyRun ran -> answer(ErrorKind.ALREADY_RUN, 0);
+      case ClaimAnswer.OutcomeUnknown lost -> answer(ErrorKind.OUTCOME_UNKNOWN, 0);
+      case ClaimAnswer.KeyReused reused -> answer(ErrorKind.KEY_REUSED, 0);
+      case ClaimAnswer.Unavailable unavailable -> answer(ErrorKind.NO_CLAIM, 0);
+    }
+  }
+
+  private void replay(RecordedAnswer recorded) {
+    finish();
+    caller.answerRecorded(recorded);
   }
 
   private void startAttempt() {
@@ -101,6 +152,9 @@
     if (body.isWhole()) {
       limits.onRequestWhole(context.clock().getAsLong());
     }
+    if (!prepared) {
+      prepareIfWhole();
+    }
     List.copyOf(active).forEach(each -> each.sendBody(body));
     discardSentBody();
     updateRequestReading();
@@ -113,6 +167,9 @@
   }
 
   private void updateRequestReading() {
+    if (ended) {
+      return;
+    }
     boolean blocked =
         active.stream().anyMatch(each -> each.isSending() && !each.isWritable())
             || (body.exceedsKeptLimit() && active.stream().noneMatch(Attempt::isSending));
@@ -135,11 +192,17 @@
     }
   }
 
-  /** Cancels the exchange because the caller has left. */
+  /** Cancels the exchange because the caller has left, unless its outcome is to be recorded. */
   void onCallerGone() {
-    if (!ended) {
-      context.metrics().onCallerGone();
+    if (ended) {
+      return;
+    }
+    context.metrics().onCallerGone();
+    boolean sent = active.stream().anyMatch(Attempt::bytesWritten);
+    // A claimed request that has gone out runs on, so that its outcome is known.
+    if (claim.isEmpty() || !sent) {
       cancelAll(Outcome.CANCELLED);
+      settle(ClaimSettlement.Result.DID_NOT_RUN);
       finish();
     }
   }
@@ -161,7 +224,22 @@
         cancelAll(Outcome.TIMED_OUT);
         cut();
       }
-      default -> {}
+      default -> hedgeIfSlow(nowNanos);
+    }
+  }
+
+  /** Sends an idempotent request to a second target if the first is slow to answer. */
+  private void hedgeIfSlow(long nowNanos) {
+    long afterNanos = terms.value(Parameter.HEDGE_AFTER) * NANOS_PER_MS;
+    boolean slow =
+        afterNanos > 0
+            && attempts == 1
+            && active.size() == 1
+            && active.getFirst().isSending()
+            && nowNanos - active.getFirst().sentNanos() >= afterNanos;
+    if (slow && RetryPolicy.mayHedge(progress()) && spendRetry(RetryReason.HEDGE)) {
+      context.metrics().onRetry(RetryReason.HEDGE);
+      startAttempt();
     }
   }
 
@@ -204,6 +282,7 @@
     active.remove(attempt);
     cancelAll(Outcome.CANCELLED);
     active.add(attempt);
+    claim.ifPresent(each -> each.onHead(answerHead));
     limits.onAnswerHead(context.clock().getAsLong());
     EndToEndHeaders.keepInAnswer(answerHead.headers());
     caller.writeHead(answerHead);
@@ -213,6 +292,7 @@
   @Override
   public void onContent(Attempt attempt, HttpContent content) {
     limits.onProgress(context.clock().getAsLong());
+    claim.ifPresent(each -> each.onContent(content.content()));
     caller.write(content);
   }
 
@@ -224,6 +304,8 @@
   @Override
   public void onComplete(Attempt attempt) {
     context.budgets().of(terms.service()).onSuccess(terms.value(Parameter.RETRY_BUDGET));
+    settle(ClaimSettlement.Result.RAN);
+    poison.onAnswered();
     finish();
     caller.onAnswered();
   }
@@ -231,6 +313,8 @@
   @Override
   public void onFailed(Attempt attempt, AttemptFailure failure) {
     active.remove(attempt);
+    attempt.target().ifPresent(used::add);
+    poison.onFailed(attempt, failure);
     if (attempt == answering) {
       cut();
       return;
@@ -238,19 +322,29 @@
     if (failure.mayHaveRun()) {
       uncertain = Optional.of(uncertain.orElse(failure));
     }
-    if (mayRetry(failure)) {
+    if (active.isEmpty()) {
+      retryOrAnswer(failure);
+    }
+  }
+
+  private void retryOrAnswer(AttemptFailure failure) {
+    if (poison.isPoison()) {
+      answer(ErrorKind.POISON_REQUEST, 0);
+    } else if (mayRetry(failure)) {
       context.metrics().onRetry(failure.reason());
       startAttempt();
-    } else if (active.isEmpty()) {
+    } else {
       answer(failure.kind(), 0);
     }
   }
 
   private boolean mayRetry(AttemptFailure failure) {
-    RetryPolicy.RequestProgress progress =
-        new RetryPolicy.RequestProgress(
-            terms.idempotent(), attempts, answering != null, body.isKept(), mark.isRetry());
-    return RetryPolicy.mayRetry(failure, progress) && spendRetry(failure.reason());
+    return RetryPolicy.mayRetry(failure, progress()) && spendRetry(failure.reason());
+  }
+
+  private RetryPolicy.RequestProgress progress() {
+    return new RetryPolicy.RequestProgress(
+        terms.idempotent(), attempts, answering != null, body.isKept(), mark.isRetry());
   }
 
   private boolean spendRetry(RetryReason reason) {
@@ -274,22 +368,31 @@
     }
     ErrorKind honest =
         kind.run() == ErrorKind.Run.NO ? uncertain.map(AttemptFailure::kind).orElse(kind) : kind;
+    boolean unrun = honest.run() == ErrorKind.Run.NO;
+    settle(unrun ? ClaimSettlement.Result.DID_NOT_RUN : ClaimSettlement.Result.UNKNOWN);
     finish();
     caller.answerError(honest, retryAfterMs);
   }
 
   private void cut() {
     context.metrics().onCutAnswer();
+    settle(ClaimSettlement.Result.UNKNOWN);
     finish();
     caller.cut();
   }
 
+  private void settle(ClaimSettlement.Result result) {
+    claim.ifPresent(each -> each.settle(result));
+  }
+
   private void cancelAll(Outcome why) {
     active.forEach(each -> each.cancel(why));
     active.clear();
   }
 
   private void finish() {
+    // Does nothing if the outcome has been reported.
+    settle(ClaimSettlement.Result.UNKNOWN);
     ended = true;
     close();
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeContext.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeContext.java
@@ -4,8 +4,11 @@
 import java.util.function.IntUnaryOperator;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.waxwingbeam.caller.PoisonList;
+import org.waxwingbeam.control.ClaimClient;
 import org.waxwingbeam.metrics.EntryMetrics;
 import org.waxwingbeam.model.ErrorKind;
+import org.waxwingbeam.model.InstanceName;
 import org.waxwingbeam.target.net.TargetConnections;
 
 /**
@@ -18,6 +21,9 @@
  * @param connectionShare the part of a target's connection limit that this entry instance may use
  * @param budgets the retry budgets of all services
  * @param ids numbers requests and attempts
+ * @param instance the name of this entry instance
+ * @param claims claims idempotency keys
+ * @param poison finds requests that crash targets
  * @param metrics counts refusals and retries
  * @param clock the entry's monotonic clock, in nanoseconds
  * @since 0.1.0
@@ -30,5 +36,8 @@
     IntUnaryOperator connectionShare,
     RetryBudgets budgets,
     RequestIds ids,
+    InstanceName instance,
+    ClaimClient claims,
+    PoisonList poison,
     EntryMetrics metrics,
     LongSupplier clock) {}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/RequestBody.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/RequestBody.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -53,9 +54,9 @@
     return parts.get(index - firstPart).retainedDuplicate();
   }
 
-  /** Returns every part, which must all be kept. */
-  List<HttpContent> parts() {
-    return parts;
+  /** Returns the bytes of every part that is kept, without copying them. */
+  List<ByteBuffer> buffers() {
+    return parts.stream().map(each -> each.content().nioBuffer()).toList();
   }
 
   /** Releases the parts below an index. After that the body cannot be sent again. */
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/control/ClaimTableTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/control/ClaimTableTest.java
@@ -15,6 +15,12 @@
   private static final RecordedAnswer DONE =
       new RecordedAnswer(201, "text/plain", ByteString.copyFromUtf8("order 7"));
 
+  private static final List<ClaimSettlement.Result> RESULTS =
+      List.of(
+          ClaimSettlement.Result.RAN,
+          ClaimSettlement.Result.DID_NOT_RUN,
+          ClaimSettlement.Result.UNKNOWN);
+
   private final ClaimTable table = new ClaimTable();
 
   @Test
@@ -150,8 +156,7 @@
       return ClaimCodec.encode(
           new ClaimRequest(account, key, digest, entry, attempt, 60_000, 10_000, 1_000));
     }
-    ClaimSettlement.Result result =
-        ClaimSettlement.Result.values()[random.nextInt(ClaimSettlement.Result.values().length)];
+    ClaimSettlement.Result result = RESULTS.get(random.nextInt(RESULTS.size()));
     return ClaimCodec.encode(
         new ClaimSettlement(account, key, entry, attempt, result, Optional.of(DONE)));
   }
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/EntryFixture.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/EntryFixture.java
@@ -4,12 +4,14 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.prometheus.metrics.model.snapshots.CounterSnapshot;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import org.waxwingbeam.caller.PoisonList;
 import org.waxwingbeam.caller.net.CallerServer;
 import org.waxwingbeam.caller.net.ClassifierCache;
 import org.waxwingbeam.caller.net.DispatchGate;
@@ -17,11 +19,13 @@
 import org.waxwingbeam.caller.net.RequestIds;
 import org.waxwingbeam.caller.net.RetryBudgets;
 import org.waxwingbeam.control.AppliedConfiguration;
+import org.waxwingbeam.control.ClaimClient;
 import org.waxwingbeam.metrics.EntryMetrics;
 import org.waxwingbeam.model.Account;
 import org.waxwingbeam.model.AccountName;
 import org.waxwingbeam.model.AccountTerms;
 import org.waxwingbeam.model.Configuration;
+import org.waxwingbeam.model.InstanceName;
 import org.waxwingbeam.model.Parameters;
 import org.waxwingbeam.model.RouteName;
 import org.waxwingbeam.model.RouteRule;
@@ -46,6 +50,10 @@
   /** The host of the client account {@code beta}. */
   public static final String OTHER_HOST = "beta.orders.example";
 
+  /** Limits that no test runs into. */
+  public static final EntrySettings.CallerLimits ORDINARY_LIMITS =
+      new EntrySettings.CallerLimits(16_384, 5_000, 60_000);
+
   private static final TemplateName TEMPLATE = new TemplateName("orders");
 
   private final EventLoopGroup group =
@@ -60,9 +68,13 @@
    * @param dispatcher chooses targets
    * @param parameters the template's parameters
    * @param limits limits on what callers send
+   * @param shared what it shares with other entry instances
    */
   public EntryFixture(
-      Dispatcher dispatcher, Parameters parameters, EntrySettings.CallerLimits limits) {
+      Dispatcher dispatcher,
+      Parameters parameters,
+      EntrySettings.CallerLimits limits,
+      Shared shared) {
     AppliedConfiguration applied = new AppliedConfiguration();
     applied.applyIfNewer(configuration(parameters));
     ExchangeContext context =
@@ -73,15 +85,41 @@
             Optional::empty,
             limit -> limit,
             new RetryBudgets(),
-            new RequestIds("fixture-"),
+            new RequestIds(shared.instance() + "-", System.currentTimeMillis()),
+            new InstanceName(shared.instance()),
+            shared.claims(),
+            shared.poison(),
             new EntryMetrics(registry),
             System::nanoTime);
     server = new CallerServer(group, new Endpoint("127.0.0.1", 0), limits, context);
   }
 
-  /** Starts the entry instance with ordinary limits. */
+  /** Starts an entry instance of its own with ordinary limits. */
   public EntryFixture(Dispatcher dispatcher, Parameters parameters) {
-    this(dispatcher, parameters, new EntrySettings.CallerLimits(16_384, 5_000, 60_000));
+    this(dispatcher, parameters, ORDINARY_LIMITS, Shared.alone());
+  }
+
+  /** Returns the value of a counter, or 0 if it has none. */
+  public double count(String counter, String label) {
+    return registry.scrape(name -> name.equals(counter)).stream()
+        .flatMap(snapshot -> snapshot.getDataPoints().stream())
+        .filter(point -> point.getLabels().stream().anyMatch(l -> l.getValue().equals(label)))
+        .mapToDouble(point -> ((CounterSnapshot.CounterDataPointSnapshot) point).getValue())
+        .sum();
+  }
+
+  /**
+   * What entry instances share.
+   *
+   * @param instance the name of this entry instance
+   * @param claims claims idempotency keys
+   * @param poison finds requests that crash targets
+   */
+  public record Shared(String instance, ClaimClient claims, PoisonList poison) {
+    /** Returns what a single entry instance needs. */
+    public static Shared alone() {
+      return new Shared("entry-1", new TableClaimClient(), new PoisonList());
+    }
   }
 
   /**
