Settings, the operate command, logs and the metrics server

Purpose: daemons that refuse a wrong setting at start with everything that is wrong with the file, and operators who can change the configuration and learn when a change is in force.

- One table of keys (section, key, type, default, doc) drives reading, checking and, later, the operators' page. commons-configuration2 parses the INI files; its node model is read directly, since the keyed access interpolates values and hides keys that are given twice.
- Template and client account files are INI too, and read back as written.
- operate sends a change under an id that it prints first, asks again after a lost answer under the same id, and waits until the change is in force.
It refuses to take out a data centre that no entry instance runs in, or the last one, unless forced.
- EventLog writes one key=value line for each event; hostile values can't break the line.
MetricsServer serves a Prometheus registry.

--- /dev/null
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/DaemonCommand.java
@@ -0,0 +1,173 @@
+package org.waxwingbeam.daemon;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.waxwingbeam.logging.EventLog;
+import org.waxwingbeam.logging.LogLevel;
+import org.waxwingbeam.logging.LogOutput;
+import org.waxwingbeam.settings.SettingsResult;
+
+/**
+ * Runs a daemon with the settings of a file until the process is told to end.
+ *
+ * <pre>{@code
+ * new DaemonCommand<>("entry", "serve callers", SettingsReader::entry, EntryDaemon::start);
+ * }</pre>
+ *
+ * @param <T> the settings of the daemon
+ * @since 0.1.0
+ */
+public final class DaemonCommand<T> implements Command {
+  private static final EventLog LOG = new EventLog(DaemonCommand.class);
+
+  private final String name;
+  private final String summary;
+  private final Reader<T> reader;
+  private final Starter<T> starter;
+  private final OptionParser parser = new OptionParser();
+  private final OptionSpec<String> file =
+      parser.accepts("settings", "the settings file").withRequiredArg().describedAs("FILE");
+  private final OptionSpec<Void> check =
+      parser.accepts("check-settings", "check the settings file and end");
+  private final OptionSpec<Void> help = parser.accepts("help", "print this text");
+
+  /**
+   * Creates the command.
+   *
+   * @param name the word that selects the command
+   * @param summary one line that says what the daemon does
+   * @param reader reads the settings file
+   * @param starter starts the daemon; closing it waits for the exchanges under way
+   */
+  public DaemonCommand(String name, String summary, Reader<T> reader, Starter<T> starter) {
+    this.name = name;
+    this.summary = summary;
+    this.reader = reader;
+    this.starter = starter;
+  }
+
+  @Override
+  public String name() {
+    return name;
+  }
+
+  @Override
+  public String summary() {
+    return summary;
+  }
+
+  @Override
+  public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) throws Exception {
+    OptionSet options;
+    try {
+      options = parser.parse(arguments.toArray(String[]::new));
+    } catch (OptionException wrong) {
+      return usage(err, wrong.getMessage());
+    }
+    if (options.has(help)) {
+      out.print(helpText().format(parser));
+      return ExitCode.OK;
+    }
+    if (!options.nonOptionArguments().isEmpty()) {
+      return usage(err, "unexpected '%s'".formatted(options.nonOptionArguments().getFirst()));
+    }
+    if (!options.has(file)) {
+      return usage(err, "--settings FILE is missing");
+    }
+    return runWith(options.valueOf(file), options.has(check), out, err);
+  }
+
+  private HelpText helpText() {
+    return new HelpText(
+        "waxwingbeam %s --settings FILE [OPTION]...".formatted(name),
+        summary + ".",
+        List.of(ExitCode.OK, ExitCode.FAILED, ExitCode.USAGE));
+  }
+
+  private ExitCode usage(PrintStream err, String message) {
+    err.println("waxwingbeam %s: %s; see --help".formatted(name, message));
+    return ExitCode.USAGE;
+  }
+
+  private ExitCode runWith(String path, boolean checkOnly, PrintStream out, PrintStream err)
+      throws Exception {
+    SettingsResult<T> result;
+    try {
+      result = reader.read(Path.of(path));
+    } catch (IOException unreadable) {
+      return usage(err, "settings file can't be read: " + unreadable.getMessage());
+    }
+    return switch (result) {
+      case SettingsResult.Invalid<T> invalid -> {
+        invalid.faults().forEach(fault -> err.println(fault.sentence()));
+        yield ExitCode.USAGE;
+      }
+      case SettingsResult.Valid<T> valid -> {
+        if (checkOnly) {
+          out.println(path + ": valid");
+          yield ExitCode.OK;
+        }
+        yield serve(valid.settings(), valid.logLevel(), err);
+      }
+    };
+  }
+
+  /** Serves until the process is told to end, then closes the daemon. */
+  private ExitCode serve(T settings, LogLevel level, PrintStream err) throws Exception {
+    LogOutput.install(err, level);
+    CountDownLatch told = new CountDownLatch(1);
+    CountDownLatch closed = new CountDownLatch(1);
+    try (AutoCloseable daemon = starter.start(settings)) {
+      Runtime.getRuntime().addShutdownHook(new Thread(() -> endAndWait(told, closed), "shutdown"));
+      LOG.info("started", "daemon", name);
+      told.await();
+      LOG.info("stopping", "daemon", name);
+    } finally {
+      LOG.info("stopped", "daemon", name);
+      closed.countDown();
+    }
+    return ExitCode.OK;
+  }
+
+  private static void endAndWait(CountDownLatch told, CountDownLatch closed) {
+    told.countDown();
+    try {
+      closed.await();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /**
+   * Reads the settings of a daemon.
+   *
+   * @param <T> the settings
+   */
+  @FunctionalInterface
+  public interface Reader<T> {
+    /**
+     * Reads a settings file.
+     *
+     * @throws IOException if the file can't be read
+     */
+    SettingsResult<T> read(Path path) throws IOException;
+  }
+
+  /**
+   * Starts a daemon.
+   *
+   * @param <T> the settings
+   */
+  @FunctionalInterface
+  public interface Starter<T> {
+    /** Starts a daemon with its settings. Closing it waits for the exchanges under way. */
+    AutoCloseable start(T settings) throws Exception;
+  }
+}
--- /dev/null
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/operate/OperateCommand.java
@@ -0,0 +1,64 @@
+package org.waxwingbeam.daemon.operate;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.util.List;
+import org.waxwingbeam.daemon.Command;
+import org.waxwingbeam.daemon.ExitCode;
+
+/**
+ * Changes and shows the configuration from an operator's shell.
+ *
+ * @since 0.1.0
+ */
+public final class OperateCommand implements Command {
+  @Override
+  public String name() {
+    return "operate";
+  }
+
+  @Override
+  public String summary() {
+    return "change and show the configuration";
+  }
+
+  @Override
+  public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) throws Exception {
+    OperateLine line = new OperateLine();
+    try {
+      OperateLine.Parsed parsed = line.parse(arguments);
+      if (parsed.wantsHelp()) {
+        out.print(line.helpText());
+        return ExitCode.OK;
+      }
+      Action action = new ActionParser(parsed, System.currentTimeMillis()).parse();
+      return run(action, parsed.options(), out, err);
+    } catch (UsageException wrong) {
+      wrong.getMessage().lines().forEach(each -> err.println("waxwingbeam operate: " + each));
+      return ExitCode.USAGE;
+    } catch (IOException unreadable) {
+      err.println("waxwingbeam operate: can't be read: " + unreadable.getMessage());
+      return ExitCode.USAGE;
+    }
+  }
+
+  private static ExitCode run(
+      Action action, OperateOptions options, PrintStream out, PrintStream err)
+      throws IOException, InterruptedException {
+    String token = Files.readString(options.tokenFile()).strip();
+    try (OperatorClient client =
+        new OperatorClient(options.controls(), token, options.timeoutMs())) {
+      Viewer viewer = new Viewer(client, out, err);
+      Submitter submitter = new Submitter(client, options, out, err);
+      return switch (action) {
+        case Action.Submit submit -> submitter.submit(submit.change());
+        case Action.ReplaceReplica replace -> submitter.replace(replace);
+        case Action.ShowConfiguration show -> viewer.configuration(show);
+        case Action.ShowStatus status -> viewer.status();
+        case Action.ShowReplicas replicas -> viewer.replicas();
+        case Action.ShowHistory history -> viewer.history(history.from());
+      };
+    }
+  }
+}
--- /dev/null
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/operate/OperatorClient.java
@@ -0,0 +1,177 @@
+package org.waxwingbeam.daemon.operate;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.Message;
+import com.google.protobuf.util.JsonFormat;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.UnaryOperator;
+import org.waxwingbeam.settings.Endpoint;
+
+/**
+ * Asks the control replicas over their operators' interface, one after the other until one answers.
+ *
+ * <p>A question is asked again for as long as the time lasts, also after a lost answer: a change
+ * carries an id under which it is accepted once only.
+ */
+final class OperatorClient implements AutoCloseable {
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(5);
+  private static final long PAUSE_MS = 200;
+  private static final String NOT_LEADER_HEADER = "waxwingbeam-not-leader";
+  private static final int UNAUTHORIZED = 401;
+  private static final int NOT_FOUND = 404;
+  private static final int UNAVAILABLE = 503;
+
+  private final List<Endpoint> controls;
+  private final String token;
+  private final long timeoutMs;
+  private final HttpClient client =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(CONNECT_TIMEOUT)
+          .build();
+
+  /**
+   * Creates the client.
+   *
+   * @param controls the replicas' addresses for operators
+   * @param token the operators' credential
+   * @param timeoutMs how long to go on asking, in milliseconds
+   */
+  OperatorClient(List<Endpoint> controls, String token, long timeoutMs) {
+    this.controls = List.copyOf(controls);
+    this.token = token;
+    this.timeoutMs = timeoutMs;
+  }
+
+  /**
+   * Reads a message.
+   *
+   * @param prototype an empty message of the kind that is read
+   */
+  <T extends Message> Reply<T> get(String path, T prototype) throws InterruptedException {
+    return ask(path, HttpRequest.Builder::GET, prototype);
+  }
+
+  /**
+   * Sends a message and reads the answer.
+   *
+   * @param prototype an empty message of the kind that is read
+   */
+  <T extends Message> Reply<T> post(String path, Message body, T prototype)
+      throws InterruptedException {
+    String json = json(body);
+    return ask(
+        path,
+        request ->
+            request
+                .header("content-type", "application/json")
+                .POST(HttpRequest.BodyPublishers.ofString(json)),
+        prototype);
+  }
+
+  @Override
+  public void close() {
+    client.close();
+  }
+
+  private <T extends Message> Reply<T> ask(
+      String path, UnaryOperator<HttpRequest.Builder> method, T prototype)
+      throws InterruptedException {
+    long endNanos = System.nanoTime() + Duration.ofMillis(timeoutMs).toNanos();
+    Optional<Reply<T>> lost = Optional.empty();
+    while (true) {
+      Reply<T> reply = askEach(path, method, prototype);
+      switch (reply) {
+        case Reply.Answered<T> answered -> {
+          return answered;
+        }
+        case Reply.Rejected<T> rejected -> {
+          return rejected;
+        }
+        case Reply.Lost<T> answerLost -> lost = Optional.of(answerLost);
+        case Reply.Unreachable<T> unreachable -> {}
+      }
+      if (System.nanoTime() >= endNanos) {
+        return lost.orElse(reply);
+      }
+      Thread.sleep(PAUSE_MS);
+    }
+  }
+
+  /** Asks each replica until one answers; a lost answer outweighs the unreachable replicas. */
+  private <T extends Message> Reply<T> askEach(
+      String path, UnaryOperator<HttpRequest.Builder> method, T prototype)
+      throws InterruptedException {
+    Reply<T> worst = new Reply.Unreachable<>("no address was given");
+    for (Endpoint control : controls) {
+      Reply<T> reply = askOne(control, path, method, prototype);
+      if (reply instanceof Reply.Answered<T> || reply instanceof Reply.Rejected<T>) {
+        return reply;
+      }
+      worst = worst instanceof Reply.Lost<T> ? worst : reply;
+    }
+    return worst;
+  }
+
+  private <T extends Message> Reply<T> askOne(
+      Endpoint control, String path, UnaryOperator<HttpRequest.Builder> method, T prototype)
+      throws InterruptedException {
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(URI.create("http://" + control + path))
+            .timeout(ANSWER_TIMEOUT)
+            .header("authorization", "Bearer " + token);
+    try {
+      HttpResponse<String> answer =
+          client.send(method.apply(request).build(), HttpResponse.BodyHandlers.ofString());
+      return read(control, path, answer, prototype);
+    } catch (ConnectException | HttpConnectTimeoutException unreachable) {
+      return new Reply.Unreachable<>(control + ": no connection");
+    } catch (IOException lost) {
+      return new Reply.Lost<>("%s: %s".formatted(control, lost.getMessage()));
+    }
+  }
+
+  private static <T extends Message> Reply<T> read(
+      Endpoint control, String path, HttpResponse<String> answer, T prototype) {
+    boolean notLeader = answer.headers().firstValue(NOT_LEADER_HEADER).isPresent();
+    if (answer.statusCode() == UNAVAILABLE) {
+      return notLeader
+          ? new Reply.Unreachable<>(control + ": not the leader")
+          : new Reply.Lost<>(control + ": could not tell");
+    }
+    return switch (answer.statusCode()) {
+      case UNAUTHORIZED -> new Reply.Rejected<>(control + ": the credential is wrong");
+      case NOT_FOUND -> new Reply.Rejected<>("%s: nothing at %s".formatted(control, path));
+      default -> parse(control, answer.body(), prototype);
+    };
+  }
+
+  @SuppressWarnings("unchecked")
+  private static <T extends Message> Reply<T> parse(Endpoint control, String json, T prototype) {
+    Message.Builder builder = prototype.newBuilderForType();
+    try {
+      JsonFormat.parser().ignoringUnknownFields().merge(json, builder);
+      return new Reply.Answered<>((T) builder.build());
+    } catch (InvalidProtocolBufferException malformed) {
+      return new Reply.Lost<>("%s: malformed answer: %s".formatted(control, json));
+    }
+  }
+
+  private static String json(Message message) {
+    try {
+      return JsonFormat.printer().omittingInsignificantWhitespace().print(message);
+    } catch (InvalidProtocolBufferException impossible) {
+      throw new IllegalStateException("a message of known types has a JSON form", impossible);
+    }
+  }
+}
--- /dev/null
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/operate/Submitter.java
@@ -0,0 +1,178 @@
+package org.waxwingbeam.daemon.operate;
+
+import java.io.PrintStream;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.UUID;
+import java.util.stream.Collectors;
+import org.waxwingbeam.daemon.ExitCode;
+import org.waxwingbeam.operator.Change;
+import org.waxwingbeam.operator.ChangeCodec;
+import org.waxwingbeam.text.NearestName;
+import org.waxwingbeam.wire.configuration.Configuration;
+import org.waxwingbeam.wire.operator.ChangeAnswer;
+import org.waxwingbeam.wire.operator.ChangeRequest;
+import org.waxwingbeam.wire.operator.EntryStatus;
+import org.waxwingbeam.wire.operator.InForce;
+import org.waxwingbeam.wire.operator.ReplaceReplica;
+import org.waxwingbeam.wire.operator.Status;
+
+/** Sends a change and waits until it is in force. */
+final class Submitter {
+  private static final long POLL_MS = 100;
+  private static final long NANOS_PER_MS = 1_000_000;
+
+  private final OperatorClient client;
+  private final OperateOptions options;
+  private final PrintStream out;
+  private final PrintStream err;
+
+  Submitter(OperatorClient client, OperateOptions options, PrintStream out, PrintStream err) {
+    this.client = client;
+    this.options = options;
+    this.out = out;
+    this.err = err;
+  }
+
+  /** Makes a change and returns what became of it. */
+  ExitCode submit(Change change) throws InterruptedException {
+    Reply<Configuration> current = client.get("/configuration", Configuration.getDefaultInstance());
+    if (!(current instanceof Reply.Answered<Configuration> answered)) {
+      return failed(current);
+    }
+    Optional<String> doubt = doubt(change, answered.message());
+    if (doubt.isPresent()) {
+      err.println("refused: " + doubt.get());
+      return ExitCode.REFUSED;
+    }
+    long basedOn = options.basedOn().orElse(answered.message().getNumber());
+    String id = options.changeId().orElseGet(() -> UUID.randomUUID().toString());
+    out.printf("change-id %s, based on %d%n", id, basedOn);
+    out.flush();
+    ChangeRequest request =
+        ChangeRequest.newBuilder()
+            .setChangeId(id)
+            .setBasedOn(basedOn)
+            .setOperator(options.operator())
+            .setChange(ChangeCodec.encode(change))
+            .build();
+    long startNanos = System.nanoTime();
+    return settle(client.post("/changes", request, ChangeAnswer.getDefaultInstance()), startNanos);
+  }
+
+  /** Replaces a voter by a learner. */
+  ExitCode replace(Action.ReplaceReplica replace) throws InterruptedException {
+    ReplaceReplica request =
+        ReplaceReplica.newBuilder().setOldId(replace.oldId()).setNewId(replace.newId()).build();
+    Reply<ChangeAnswer> reply =
+        client.post("/replicas/replace", request, ChangeAnswer.getDefaultInstance());
+    if (reply instanceof Reply.Answered<ChangeAnswer> answered
+        && answered.message().getResult() == ChangeAnswer.Result.ACCEPTED) {
+      out.printf("replica %s replaced by %s%n", replace.oldId(), replace.newId());
+      return ExitCode.OK;
+    }
+    return settle(reply, System.nanoTime());
+  }
+
+  private ExitCode settle(Reply<ChangeAnswer> reply, long startNanos) throws InterruptedException {
+    if (!(reply instanceof Reply.Answered<ChangeAnswer> answered)) {
+      return failed(reply);
+    }
+    ChangeAnswer answer = answered.message();
+    return switch (answer.getResult()) {
+      case ACCEPTED -> accepted(answer.getNumber(), startNanos);
+      case CONFLICT -> {
+        err.printf("conflict: the current number is %d%n", answer.getCurrentNumber());
+        yield ExitCode.CONFLICT;
+      }
+      case REFUSED -> {
+        answer.getReasonsList().forEach(reason -> err.println("refused: " + reason));
+        yield ExitCode.REFUSED;
+      }
+      case UNKNOWN, RESULT_UNSPECIFIED, UNRECOGNIZED -> {
+        err.println("unknown whether the change was accepted; send it again with its change-id");
+        yield ExitCode.UNKNOWN;
+      }
+    };
+  }
+
+  private ExitCode accepted(long number, long startNanos) throws InterruptedException {
+    out.printf("accepted as number %d after %d ms%n", number, elapsedMs(startNanos));
+    out.flush();
+    if (!options.awaitForce()) {
+      return ExitCode.ACCEPTED;
+    }
+    InForce last = InForce.getDefaultInstance();
+    while (elapsedMs(startNanos) < options.timeoutMs()) {
+      Reply<InForce> reply =
+          client.get("/changes/%d/in-force".formatted(number), InForce.getDefaultInstance());
+      if (reply instanceof Reply.Answered<InForce> answered) {
+        last = answered.message();
+      }
+      if (last.getInForce()) {
+        out.printf("in force everywhere after %d ms%n", elapsedMs(startNanos));
+        return ExitCode.OK;
+      }
+      Thread.sleep(POLL_MS);
+    }
+    err.printf(
+        "not known to be in force after %d ms; not confirmed by: %s%n",
+        elapsedMs(startNanos), String.join(", ", last.getUnconfirmedList()));
+    return ExitCode.ACCEPTED;
+  }
+
+  private ExitCode failed(Reply<?> reply) {
+    return switch (reply) {
+      case Reply.Answered<?> any -> throw new IllegalStateException("an answer is no failure");
+      case Reply.Rejected<?> rejected -> {
+        err.println(rejected.why());
+        yield ExitCode.FAILED;
+      }
+      case Reply.Unreachable<?> unreachable -> {
+        err.println("no replica could act: " + unreachable.why());
+        yield ExitCode.FAILED;
+      }
+      case Reply.Lost<?> lost -> {
+        err.println("the answer was lost: " + lost.why());
+        yield ExitCode.UNKNOWN;
+      }
+    };
+  }
+
+  /** Returns why a data centre should not be taken out, if there is a reason. */
+  private Optional<String> doubt(Change change, Configuration configuration)
+      throws InterruptedException {
+    if (!(change instanceof Change.TakeDataCentreOut out) || options.force()) {
+      return Optional.empty();
+    }
+    Reply<Status> status = client.get("/status", Status.getDefaultInstance());
+    return status instanceof Reply.Answered<Status> answered
+        ? doubt(out.dataCentre().value(), answered.message(), configuration)
+        : Optional.empty();
+  }
+
+  private static Optional<String> doubt(String name, Status status, Configuration configuration) {
+    Set<String> known =
+        status.getEntriesList().stream()
+            .map(EntryStatus::getDataCentre)
+            .collect(Collectors.toCollection(TreeSet::new));
+    if (!known.contains(name)) {
+      String nearest = NearestName.of(name, known).map(" such as '%s'"::formatted).orElse("");
+      return Optional.of(
+          "data centre '%s': expected one that an entry instance runs in%s; --force overrides"
+              .formatted(name, nearest));
+    }
+    known.removeAll(configuration.getDataCentresOutList());
+    known.remove(name);
+    return known.isEmpty()
+        ? Optional.of(
+            "data centre '%s': expected another one to stay in service; --force overrides"
+                .formatted(name))
+        : Optional.empty();
+  }
+
+  private static long elapsedMs(long startNanos) {
+    return (System.nanoTime() - startNanos) / NANOS_PER_MS;
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/logging/EventLine.java
@@ -0,0 +1,67 @@
+package org.waxwingbeam.logging;
+
+import java.util.regex.Pattern;
+
+/**
+ * Formats an event as one line of key=value pairs. A value is quoted if it is empty or holds a
+ * blank, a quote, an equals sign or a control character.
+ *
+ * <pre>{@code
+ * EventLine.format("refused", "kind", "no-target", "path", "/a b");
+ * // event=refused kind=no-target path="/a b"
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+public final class EventLine {
+  private static final Pattern PLAIN = Pattern.compile("[^\\s\"=\\\\\\p{Cntrl}]+");
+
+  private EventLine() {}
+
+  /**
+   * Formats an event.
+   *
+   * @param event the name of the event
+   * @param pairs keys and values in turn
+   * @throws IllegalArgumentException if the last key has no value
+   */
+  public static String format(String event, Object... pairs) {
+    if (pairs.length % 2 != 0) {
+      throw new IllegalArgumentException(
+          "event %s: expected keys and values in turn, found %d words"
+              .formatted(event, pairs.length));
+    }
+    StringBuilder line = new StringBuilder("event=").append(value(event));
+    for (int i = 0; i < pairs.length; i += 2) {
+      line.append(' ').append(pairs[i]).append('=').append(value(String.valueOf(pairs[i + 1])));
+    }
+    return line.toString();
+  }
+
+  /** Returns a value, quoted if need be. */
+  static String value(String text) {
+    return PLAIN.matcher(text).matches() ? text : quoted(text);
+  }
+
+  private static String quoted(String text) {
+    StringBuilder line = new StringBuilder("\"");
+    text.chars().forEach(character -> append(line, (char) character));
+    return line.append('"').toString();
+  }
+
+  private static void append(StringBuilder line, char character) {
+    switch (character) {
+      case '"', '\\' -> line.append('\\').append(character);
+      case '\n' -> line.append("\\n");
+      case '\r' -> line.append("\\r");
+      case '\t' -> line.append("\\t");
+      default -> {
+        if (Character.isISOControl(character)) {
+          line.append("\\u%04x".formatted((int) character));
+        } else {
+          line.append(character);
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/logging/package-info.java
@@ -0,0 +1,2 @@
+/** Writes one line of key=value pairs for each event. */
+package org.waxwingbeam.logging;
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/metrics/net/MetricsServer.java
@@ -0,0 +1,62 @@
+package org.waxwingbeam.metrics.net;
+
+import io.prometheus.metrics.exporter.httpserver.HTTPServer;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import org.waxwingbeam.settings.Endpoint;
+
+/**
+ * Serves a registry's metrics over HTTP in the Prometheus text format, at {@code /metrics}.
+ *
+ * <pre>{@code
+ * try (MetricsServer server = MetricsServer.start(settings.metrics(), registry)) {
+ *   ...
+ * }
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+public final class MetricsServer implements AutoCloseable {
+  private final HTTPServer server;
+
+  private MetricsServer(HTTPServer server) {
+    this.server = server;
+  }
+
+  /**
+   * Starts to serve the process's default registry.
+   *
+   * @param endpoint where to listen
+   * @throws IOException if the address can't be bound
+   */
+  public static MetricsServer start(Endpoint endpoint) throws IOException {
+    return start(endpoint, PrometheusRegistry.defaultRegistry);
+  }
+
+  /**
+   * Starts to serve a registry.
+   *
+   * @param endpoint where to listen
+   * @param registry what to serve
+   * @throws IOException if the address can't be bound
+   */
+  public static MetricsServer start(Endpoint endpoint, PrometheusRegistry registry)
+      throws IOException {
+    return new MetricsServer(
+        HTTPServer.builder()
+            .hostname(endpoint.host())
+            .port(endpoint.port())
+            .registry(registry)
+            .buildAndStart());
+  }
+
+  /** Returns the port on which the server listens. */
+  public int port() {
+    return server.getPort();
+  }
+
+  @Override
+  public void close() {
+    server.close();
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/metrics/net/package-info.java
@@ -0,0 +1,2 @@
+/** Serves metrics over HTTP. */
+package org.waxwingbeam.metrics.net;
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/operator/ChangeCheck.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/operator/ChangeCheck.java
@@ -16,6 +16,7 @@
 import org.waxwingbeam.model.Template;
 import org.waxwingbeam.model.TemplateName;
 import org.waxwingbeam.model.VersionMove;
+import org.waxwingbeam.text.NearestName;
 
 /** Finds everything that is wrong with a change. */
 final class ChangeCheck {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/operator/WireReader.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/operator/WireReader.java
@@ -23,6 +23,7 @@
 import org.waxwingbeam.model.TemplateName;
 import org.waxwingbeam.model.VersionMove;
 import org.waxwingbeam.model.VersionName;
+import org.waxwingbeam.text.NearestName;
 import org.waxwingbeam.wire.configuration.ParameterValue;
 
 /** Reads wire messages into the model and collects every fault on the way. */
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/DefinitionReader.java
@@ -0,0 +1,148 @@
+package org.waxwingbeam.settings;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Stream;
+import org.waxwingbeam.model.Account;
+import org.waxwingbeam.model.AccountName;
+import org.waxwingbeam.model.AccountTerms;
+import org.waxwingbeam.model.Parameters;
+import org.waxwingbeam.model.RouteName;
+import org.waxwingbeam.model.RouteRule;
+import org.waxwingbeam.model.ServiceName;
+import org.waxwingbeam.model.Template;
+import org.waxwingbeam.model.TemplateName;
+import org.waxwingbeam.settings.IniFile.Section;
+
+/**
+ * Reads the INI files that define templates and client accounts.
+ *
+ * <pre>{@code
+ * [template]
+ * name = listing
+ * service = listing
+ * host = {account}.listings.example
+ *
+ * [parameters]
+ * deadline = 2 s
+ *
+ * [route page]
+ * method = GET
+ * path = /pages/*
+ * idempotent = yes
+ * }</pre>
+ *
+ * <p>A client account's file has a section {@code [account]} with its name, and for each template
+ * that it may use a section such as {@code [template listing]} with the parameters that it
+ * overrides.
+ *
+ * @since 0.1.0
+ */
+public final class DefinitionReader {
+  private static final String TEMPLATE = "template";
+  private static final String PARAMETERS = "parameters";
+  private static final String ACCOUNT = "account";
+  private static final String ROUTE_PREFIX = "route ";
+  private static final String TEMPLATE_PREFIX = "template ";
+  private static final List<String> TEMPLATE_KEYS = List.of("name", "service", "host");
+  private static final List<String> ROUTE_KEYS =
+      List.of("method", "path", "idempotent", "transfer");
+
+  private final IniFile file;
+  private final DefinitionFaults faults;
+
+  private DefinitionReader(IniFile file) {
+    this.file = file;
+    faults = new DefinitionFaults(file.name());
+  }
+
+  /**
+   * Reads a template.
+   *
+   * @throws IOException if the file can't be read or is no INI file
+   */
+  public static DefinitionResult<Template> template(Path path) throws IOException {
+    return new DefinitionReader(IniFile.read(path)).read(DefinitionReader::readTemplate);
+  }
+
+  /**
+   * Reads a client account.
+   *
+   * @throws IOException if the file can't be read or is no INI file
+   */
+  public static DefinitionResult<Account> account(Path path) throws IOException {
+    return new DefinitionReader(IniFile.read(path)).read(DefinitionReader::readAccount);
+  }
+
+  private <T> DefinitionResult<T> read(Function<DefinitionReader, Optional<T>> read) {
+    Optional<T> value = read.apply(this);
+    return faults.isEmpty()
+        ? new DefinitionResult.Valid<>(value.orElseThrow())
+        : new DefinitionResult.Invalid<>(faults.list());
+  }
+
+  private Optional<Template> readTemplate() {
+    checkSections(List.of(TEMPLATE, PARAMETERS, ROUTE_PREFIX + "NAME"), ROUTE_PREFIX);
+    Section section = section(TEMPLATE);
+    faults.checkKeys(section, TEMPLATE_KEYS);
+    var name = faults.name(section, "name", TemplateName::new);
+    var service = faults.name(section, "service", ServiceName::new);
+    Optional<String> host = faults.required(section, "host");
+    Parameters parameters =
+        file.section(PARAMETERS).map(faults::parameters).orElse(Parameters.NONE);
+    List<RouteRule> routes =
+        sections(ROUTE_PREFIX).flatMap(each -> readRoute(each).stream()).toList();
+    if (name.isEmpty() || service.isEmpty() || host.isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(new Template(name.get(), service.get(), host.get(), routes, parameters));
+  }
+
+  private Optional<RouteRule> readRoute(Section section) {
+    faults.checkKeys(section, ROUTE_KEYS);
+    var name = faults.sectionName(section, ROUTE_PREFIX, RouteName::new);
+    Optional<String> path = faults.required(section, "path");
+    boolean idempotent = faults.yesNo(section, "idempotent");
+    boolean transfer = faults.yesNo(section, "transfer");
+    return name.flatMap(
+        route ->
+            path.map(
+                pattern ->
+                    new RouteRule(route, section.value("method"), pattern, idempotent, transfer)));
+  }
+
+  private Optional<Account> readAccount() {
+    checkSections(List.of(ACCOUNT, TEMPLATE_PREFIX + "NAME"), TEMPLATE_PREFIX);
+    Section section = section(ACCOUNT);
+    faults.checkKeys(section, List.of("name"));
+    var name = faults.name(section, "name", AccountName::new);
+    List<AccountTerms> terms =
+        sections(TEMPLATE_PREFIX).flatMap(each -> readTerms(each).stream()).toList();
+    return name.map(account -> new Account(account, terms));
+  }
+
+  private Optional<AccountTerms> readTerms(Section section) {
+    Parameters parameters = faults.parameters(section);
+    return faults
+        .sectionName(section, TEMPLATE_PREFIX, TemplateName::new)
+        .map(template -> new AccountTerms(template, parameters));
+  }
+
+  /** Returns a section; one that is missing is taken as empty, so that its keys are reported. */
+  private Section section(String name) {
+    return file.section(name).orElseGet(() -> new Section(name, List.of()));
+  }
+
+  private Stream<Section> sections(String prefix) {
+    return file.sections().stream().filter(section -> section.name().startsWith(prefix));
+  }
+
+  private void checkSections(List<String> known, String prefix) {
+    file.sections().stream()
+        .filter(section -> !known.contains(section.name()) && !section.name().startsWith(prefix))
+        .forEach(section -> faults.unknownSection(section, known));
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/SettingsCheck.java
@@ -0,0 +1,94 @@
+package org.waxwingbeam.settings;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.waxwingbeam.settings.IniFile.Line;
+import org.waxwingbeam.settings.IniFile.Section;
+import org.waxwingbeam.text.NearestName;
+
+/** Finds everything in a settings file that departs from the table of keys. */
+final class SettingsCheck {
+  private final IniFile file;
+  private final List<SettingKey> table;
+
+  SettingsCheck(IniFile file, List<SettingKey> table) {
+    this.file = file;
+    this.table = table;
+  }
+
+  /** Returns the faults: first those of the file's lines in order, then the missing keys. */
+  List<SettingsFault> faults() {
+    Stream<SettingsFault> written = file.sections().stream().flatMap(this::sectionFaults);
+    Stream<SettingsFault> missing =
+        table.stream()
+            .filter(key -> key.defaultText().isEmpty() && valueOf(key).isEmpty())
+            .map(this::missing);
+    return Stream.concat(written, missing).toList();
+  }
+
+  /** Returns the value that the file states for a key. */
+  Optional<String> valueOf(SettingKey key) {
+    return file.section(key.section()).flatMap(section -> section.value(key.key()));
+  }
+
+  private Stream<SettingsFault> sectionFaults(Section section) {
+    List<String> sections = table.stream().map(SettingKey::section).distinct().toList();
+    if (!sections.contains(section.name())) {
+      return Stream.of(
+          fault(
+              section.name(),
+              Optional.empty(),
+              Optional.empty(),
+              "unknown section",
+              NearestName.of(section.name(), sections)));
+    }
+    Set<String> seen = new HashSet<>();
+    return section.lines().stream()
+        .flatMap(
+            line ->
+                seen.add(line.key())
+                    ? lineFaults(section.name(), line)
+                    : Stream.of(
+                        fault(section.name(), line, "given more than once", Optional.empty())));
+  }
+
+  private Stream<SettingsFault> lineFaults(String section, Line line) {
+    List<SettingKey> keys = table.stream().filter(key -> key.section().equals(section)).toList();
+    Optional<SettingKey> known =
+        keys.stream().filter(key -> key.key().equals(line.key())).findFirst();
+    if (known.isEmpty()) {
+      List<String> names = keys.stream().map(SettingKey::key).toList();
+      return Stream.of(fault(section, line, "unknown key", NearestName.of(line.key(), names)));
+    }
+    SettingType type = known.get().type();
+    return type.accepts(line.value())
+        ? Stream.empty()
+        : Stream.of(fault(section, line, "expected " + type.expected(), Optional.empty()));
+  }
+
+  private SettingsFault missing(SettingKey key) {
+    return fault(
+        key.section(),
+        Optional.of(key.key()),
+        Optional.empty(),
+        "missing; expected " + key.type().expected(),
+        Optional.empty());
+  }
+
+  private SettingsFault fault(
+      String section, Line line, String expected, Optional<String> nearest) {
+    return fault(section, Optional.of(line.key()), Optional.of(line.value()), expected, nearest);
+  }
+
+  private SettingsFault fault(
+      String section,
+      Optional<String> key,
+      Optional<String> value,
+      String expected,
+      Optional<String> nearest) {
+    return new SettingsFault(file.name(), section, key, value, expected, nearest);
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/SettingsValues.java
@@ -0,0 +1,40 @@
+package org.waxwingbeam.settings;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.waxwingbeam.text.Quantity;
+
+/** Gives the values of a settings file that has passed its check. */
+final class SettingsValues {
+  private final Path file;
+  private final SettingsCheck checked;
+
+  SettingsValues(Path file, SettingsCheck checked) {
+    this.file = file;
+    this.checked = checked;
+  }
+
+  String text(SettingKey key) {
+    return checked.valueOf(key).or(key::defaultText).orElseThrow();
+  }
+
+  long number(SettingKey key) {
+    Quantity quantity = ((SettingType.Range) key.type()).quantity();
+    return quantity.parse(text(key)).orElseThrow();
+  }
+
+  Endpoint endpoint(SettingKey key) {
+    return EndpointText.parse(text(key)).orElseThrow();
+  }
+
+  List<Endpoint> endpoints(SettingKey key) {
+    return SettingType.AddressList.split(text(key)).stream()
+        .map(text -> EndpointText.parse(text).orElseThrow())
+        .toList();
+  }
+
+  /** Returns a path; one that is not absolute starts at the settings file's folder. */
+  Path path(SettingKey key) {
+    return file.toAbsolutePath().resolveSibling(text(key)).normalize();
+  }
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/operator/NearestName.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/text/NearestName.java
@@ -1,4 +1,4 @@
-package org.waxwingbeam.operator;
+package org.waxwingbeam.text;
 
 import java.util.Collection;
 import java.util.Comparator;
