--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -1,21 +1,54 @@
 package org.waxwingbeam.tools;
 
+import com.google.protobuf.ByteString;
 import java.util.List;
+import org.waxwingbeam.daemon.Command;
 import org.waxwingbeam.daemon.CommandTable;
+import org.waxwingbeam.daemon.DaemonCommand;
 import org.waxwingbeam.daemon.ExitCode;
+import org.waxwingbeam.daemon.control.ControlDaemon;
 import org.waxwingbeam.daemon.operate.OperateCommand;
+import org.waxwingbeam.replica.ClaimMachine;
+import org.waxwingbeam.settings.SettingsReader;
 import org.waxwingbeam.tools.measure.MeasureCommand;
+import org.waxwingbeam.tools.measure.Measurement;
+import org.waxwingbeam.tools.measure.capacity.CapacityMeasurement;
 
 /** Starts the program with every command: the shipped daemons' and the tools'. */
 public final class Main {
+  private static final List<Measurement> MEASUREMENTS = List.of(new CapacityMeasurement());
+  private static final List<Command> COMMANDS =
+      List.of(
+          new DaemonCommand<>(
+              "control",
+              "run a control replica",
+              SettingsReader::control,
+              settings -> ControlDaemon.start(settings, new NoClaims())),
+          new OperateCommand(),
+          new MeasureCommand(MEASUREMENTS));
+
   private Main() {}
 
   /** Runs the command line and exits with its code. */
   public static void main(String[] arguments) throws Exception {
-    CommandTable table =
-        new CommandTable(
-            "waxwingbeam", List.of(new OperateCommand(), new MeasureCommand(List.of())));
+    CommandTable table = new CommandTable("waxwingbeam", COMMANDS);
     ExitCode code = table.run(List.of(arguments), System.out, System.err);
     System.exit(code.value());
   }
+
+  /** Answers every claim with nothing, which an entry instance takes as no claim. */
+  private static final class NoClaims implements ClaimMachine {
+    @Override
+    public ByteString apply(ByteString command, long nowMs) {
+      return ByteString.EMPTY;
+    }
+
+    @Override
+    public ByteString snapshot() {
+      return ByteString.EMPTY;
+    }
+
+    @Override
+    public void restore(ByteString snapshot) {}
+  }
 }
