--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -10,9 +10,11 @@
 import org.waxwingbeam.daemon.operate.OperateCommand;
 import org.waxwingbeam.replica.ClaimMachine;
 import org.waxwingbeam.settings.SettingsReader;
+import org.waxwingbeam.tools.load.LoadCommand;
 import org.waxwingbeam.tools.measure.MeasureCommand;
 import org.waxwingbeam.tools.measure.Measurement;
 import org.waxwingbeam.tools.measure.capacity.CapacityMeasurement;
+import org.waxwingbeam.tools.standin.TargetCommand;
 
 /** Starts the program with every command: the shipped daemons' and the tools'. */
 public final class Main {
@@ -25,6 +27,8 @@
               SettingsReader::control,
               settings -> ControlDaemon.start(settings, new NoClaims())),
           new OperateCommand(),
+          new TargetCommand(),
+          new LoadCommand(),
           new MeasureCommand(MEASUREMENTS));
 
   private Main() {}
