The entry command, its metrics and the claim table in the control command

Purpose: 'waxwingbeam entry' serves with the settings of a file and exposes its counters; the control command hosts the claim table instead of one that answers nothing.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.jboss.logging.Logger;
 import org.waxwingbeam.caller.PoisonList;
 import org.waxwingbeam.caller.net.CallerServer;
 import org.waxwingbeam.caller.net.ClassifierCache;
@@ -24,7 +23,9 @@
 import org.waxwingbeam.control.net.ControlClaimClient;
 import org.waxwingbeam.control.net.ControlClient;
 import org.waxwingbeam.daemon.TokenFile;
+import org.waxwingbeam.logging.EventLog;
 import org.waxwingbeam.metrics.EntryMetrics;
+import org.waxwingbeam.metrics.net.MetricsServer;
 import org.waxwingbeam.model.Configuration;
 import org.waxwingbeam.model.ErrorKind;
 import org.waxwingbeam.platform.EntryCondition;
@@ -51,7 +52,7 @@
  * @since 0.1.0
  */
 public final class EntryDaemon implements AutoCloseable {
-  private static final Logger LOG = Logger.getLogger(EntryDaemon.class);
+  private static final EventLog LOG = new EventLog(EntryDaemon.class);
   private static final long DISPATCH_TICK_MS = 5;
   private static final long EXPIRY_TICK_MS = 100;
   private static final long DRAIN_POLL_MS = 20;
@@ -66,9 +67,12 @@
   private final ControlClient control;
   private final AnnouncementServer announcements;
   private final PlatformServer platform;
+  private final PrometheusRegistry metrics = new PrometheusRegistry();
+  private final MetricsServer metricsServer;
   private final CallerServer callers;
 
-  private EntryDaemon(EntrySettings settings, String token) throws InterruptedException {
+  private EntryDaemon(EntrySettings settings, String token)
+      throws IOException, InterruptedException {
     this.settings = settings;
     this.group = new MultiThreadIoEventLoopGroup(settings.workers(), NioIoHandler.newFactory());
     control =
@@ -84,6 +88,7 @@
             group,
             settings.targets(),
             announcement -> registry.announce(System.nanoTime(), announcement));
+    metricsServer = MetricsServer.start(settings.metrics(), metrics);
     platform = new PlatformServer(group, settings.platform(), this::refusal);
     callers = new CallerServer(group, settings.callers(), settings.callerLimits(), context(gate));
     control.start();
@@ -111,9 +116,7 @@
   }
 
   private void onConfiguration(Configuration configuration) {
-    LOG.infof(
-        "event=configuration-applied instance=%s number=%d",
-        settings.instance(), configuration.number());
+    LOG.info("configuration-applied", "number", configuration.number());
   }
 
   /** Returns the part of a limit for all entry instances that this one may use. */
@@ -143,7 +146,7 @@
         settings.instance(),
         new ControlClaimClient(control, group.next()),
         poison,
-        new EntryMetrics(PrometheusRegistry.defaultRegistry),
+        new EntryMetrics(metrics),
         System::nanoTime);
   }
 
@@ -195,6 +198,7 @@
     control.close();
     announcements.close();
     platform.close();
+    metricsServer.close();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
   }
 }
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -1,14 +1,14 @@
 package org.waxwingbeam.tools;
 
-import com.google.protobuf.ByteString;
 import java.util.List;
+import org.waxwingbeam.control.ClaimTable;
 import org.waxwingbeam.daemon.Command;
 import org.waxwingbeam.daemon.CommandTable;
 import org.waxwingbeam.daemon.DaemonCommand;
 import org.waxwingbeam.daemon.ExitCode;
 import org.waxwingbeam.daemon.control.ControlDaemon;
+import org.waxwingbeam.daemon.entry.EntryDaemon;
 import org.waxwingbeam.daemon.operate.OperateCommand;
-import org.waxwingbeam.replica.ClaimMachine;
 import org.waxwingbeam.settings.SettingsReader;
 import org.waxwingbeam.tools.load.LoadCommand;
 import org.waxwingbeam.tools.measure.MeasureCommand;
@@ -21,11 +21,12 @@
   private static final List<Measurement> MEASUREMENTS = List.of(new CapacityMeasurement());
   private static final List<Command> COMMANDS =
       List.of(
+          new DaemonCommand<>("entry", "serve callers", SettingsReader::entry, EntryDaemon::start),
           new DaemonCommand<>(
               "control",
               "run a control replica",
               SettingsReader::control,
-              settings -> ControlDaemon.start(settings, new NoClaims())),
+              settings -> ControlDaemon.start(settings, new ClaimTable())),
           new OperateCommand(),
           new TargetCommand(),
           new LoadCommand(),
@@ -39,20 +40,4 @@
     ExitCode code = table.run(List.of(arguments), System.out, System.err);
     System.exit(code.value());
   }
-
-  /** Answers every claim with nothing, which an entry instance takes as no claim. */
-  private static final class NoClaims implements ClaimMachine {
-    @Override
-    public ByteString apply(ByteString command, long nowMs) {
-      return ByteString.EMPTY;
-    }
-
-    @Override
-    public ByteString snapshot() {
-      return ByteString.EMPTY;
-    }
-
-    @Override
-    public void restore(ByteString snapshot) {}
-  }
 }
