--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/HostileTarget.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/HostileTarget.java
@@ -120,6 +120,14 @@
       return number;
     }
 
+    /** Waits for the first byte of a request; false if the connection has ended. */
+    public boolean awaitRequest() throws IOException {
+      in.mark(1);
+      int first = in.read();
+      in.reset();
+      return first >= 0;
+    }
+
     /** Reads a request and counts that it ran; empty if the connection has ended. */
     public Optional<RawRequest> run() throws IOException {
       Optional<RawRequest> request = RawRequest.read(in);
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/requests/FaultRun.java
@@ -0,0 +1,166 @@
+package org.waxwingbeam.tools.measure.requests;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.waxwingbeam.caller.PoisonList;
+import org.waxwingbeam.model.Parameter;
+import org.waxwingbeam.model.Parameters;
+import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.tools.fakes.EntryFixture;
+import org.waxwingbeam.tools.fakes.HostileTarget;
+import org.waxwingbeam.tools.fakes.RawAnswer;
+import org.waxwingbeam.tools.fakes.RawCaller;
+import org.waxwingbeam.tools.fakes.RotatingDispatcher;
+import org.waxwingbeam.tools.fakes.TableClaimClient;
+
+/**
+ * Sends requests of every kind through two entry instances to three faulty targets, one after
+ * another, resends them as callers do, and checks every answer by its content and every request by
+ * the number of its runs.
+ */
+final class FaultRun implements AutoCloseable {
+  private static final int TARGETS = 3;
+  private static final int RESENDS = 2;
+  private static final long DEADLINE_MS = 150;
+  private static final Fault[] FAULTS = Fault.values();
+
+  private final SplittableRandom random;
+  private final ConcurrentLinkedQueue<Fault> plan = new ConcurrentLinkedQueue<>();
+  private final List<FaultyTarget> targets = new ArrayList<>();
+  private final EntryFixture[] entries = new EntryFixture[2];
+  private final TableClaimClient claims = new TableClaimClient();
+  private final FaultTally tally = new FaultTally();
+  private final long seed;
+  private int started;
+
+  FaultRun(long seed) throws IOException {
+    this.seed = seed;
+    this.random = new SplittableRandom(seed);
+    for (int i = 0; i < TARGETS; i++) {
+      targets.add(new FaultyTarget(plan, random.split()));
+    }
+    entries[0] = newEntry();
+    entries[1] = newEntry();
+  }
+
+  private EntryFixture newEntry() {
+    started++;
+    List<TargetId> ids = targets.stream().map(FaultyTarget::id).toList();
+    Parameters parameters =
+        Parameters.NONE
+            .with(Parameter.DEADLINE, DEADLINE_MS)
+            .with(Parameter.HEDGE_AFTER, 40)
+            .with(Parameter.RETRY_BUDGET, 100)
+            .with(Parameter.POISON_RETENTION, 1_000);
+    return new EntryFixture(
+        new RotatingDispatcher(ids),
+        parameters,
+        EntryFixture.ORDINARY_LIMITS,
+        new EntryFixture.Shared("entry-" + started, claims, new PoisonList()));
+  }
+
+  /** Sends a number of requests and returns what was seen. */
+  FaultTally run(int requests) throws Exception {
+    List<FaultCase> cases = new ArrayList<>();
+    for (int i = 0; i < requests; i++) {
+      FaultCase each = FaultCase.random("s%d-%d".formatted(seed, i), random);
+      serve(each);
+      cases.add(each);
+    }
+    cases.forEach(each -> tally.onEnd(each, runs(each.id())));
+    return tally;
+  }
+
+  private void serve(FaultCase request) throws Exception {
+    for (int sent = 0; sent <= RESENDS; sent++) {
+      planFaults();
+      claims.loseAnswers(random.nextInt(20) == 0);
+      claims.loseSettlements(random.nextInt(20) == 0);
+      int entry = random.nextInt(entries.length);
+      Optional<RawAnswer> answer = send(entries[entry], request);
+      tally.onAnswer(request, answer, runs(request.id()));
+      if (random.nextInt(30) == 0) {
+        replaceEntry(entry);
+      }
+      if (!request.mayResend(answer)) {
+        return;
+      }
+    }
+  }
+
+  private void planFaults() {
+    plan.clear();
+    for (int i = random.nextInt(3); i >= 0; i--) {
+      plan.add(FAULTS[random.nextInt(FAULTS.length)]);
+    }
+  }
+
+  /** Ends an entry instance at once and starts another under a new name. */
+  private void replaceEntry(int index) {
+    entries[index].close();
+    claims.entryGone("entry-" + started);
+    entries[index] = newEntry();
+  }
+
+  private static Optional<RawAnswer> send(EntryFixture entry, FaultCase request)
+      throws IOException {
+    try (RawCaller caller = new RawCaller(entry.endpoint())) {
+      caller.send(request.text());
+      return caller.readAnswer(false);
+    }
+  }
+
+  private int runs(String id) {
+    return targets.stream().mapToInt(target -> target.runs(id)).sum();
+  }
+
+  @Override
+  public void close() throws IOException {
+    for (EntryFixture entry : entries) {
+      entry.close();
+    }
+    for (FaultyTarget target : targets) {
+      target.close();
+    }
+  }
+
+  /**
+   * One request.
+   *
+   * @param id identifies it in the count of runs
+   * @param idempotent whether it may run twice
+   * @param keyed whether it carries an idempotency key
+   * @param bodyLength the length of its body, in bytes
+   */
+  record FaultCase(String id, boolean idempotent, boolean keyed, int bodyLength) {
+    static FaultCase random(String id, SplittableRandom random) {
+      boolean idempotent = random.nextInt(3) == 0;
+      return new FaultCase(id, idempotent, random.nextInt(3) > 0, random.nextInt(200));
+    }
+
+    String text() {
+      String body = idempotent ? "" : "b".repeat(bodyLength);
+      return String.join(
+          "\r\n",
+          idempotent ? "GET /listings/" + id + " HTTP/1.1" : "POST /orders HTTP/1.1",
+          "host: " + EntryFixture.HOST,
+          HostileTarget.CASE_HEADER + ": " + id,
+          keyed ? "idempotency-key: " + id : "x-unkeyed: yes",
+          "content-length: " + body.length(),
+          "",
+          body);
+    }
+
+    /** Returns whether a careful caller sends the request again after an answer. */
+    boolean mayResend(Optional<RawAnswer> answer) {
+      boolean unrun =
+          answer.flatMap(each -> each.header("waxwingbeam-run")).equals(Optional.of("no"));
+      boolean done = answer.isPresent() && answer.get().header("waxwingbeam-error").isEmpty();
+      return !done && (idempotent || keyed || unrun);
+    }
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/requests/package-info.java
@@ -0,0 +1,2 @@
+/** Measures whether requests get their own whole answers and run at most once under faults. */
+package org.waxwingbeam.tools.measure.requests;
