measure requests: answers by content and runs by count, under seeded faults

Purpose: the bounds of the request path hold on any seed: no wrong answer, at most one run of a non-idempotent request, no run of what was called not run, at most two targets crashed by one request, and nobody else unanswered meanwhile.

--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -14,11 +14,13 @@
 import org.waxwingbeam.tools.measure.MeasureCommand;
 import org.waxwingbeam.tools.measure.Measurement;
 import org.waxwingbeam.tools.measure.capacity.CapacityMeasurement;
+import org.waxwingbeam.tools.measure.requests.RequestMeasurement;
 import org.waxwingbeam.tools.standin.TargetCommand;
 
 /** Starts the program with every command: the shipped daemons' and the tools'. */
 public final class Main {
-  private static final List<Measurement> MEASUREMENTS = List.of(new CapacityMeasurement());
+  private static final List<Measurement> MEASUREMENTS =
+      List.of(new CapacityMeasurement(), new RequestMeasurement());
   private static final List<Command> COMMANDS =
       List.of(
           new DaemonCommand<>("entry", "serve callers", SettingsReader::entry, EntryDaemon::start),
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/requests/PoisonRun.java
@@ -0,0 +1,127 @@
+package org.waxwingbeam.tools.measure.requests;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.waxwingbeam.caller.PoisonList;
+import org.waxwingbeam.caller.PoisonRecord;
+import org.waxwingbeam.model.Parameter;
+import org.waxwingbeam.model.Parameters;
+import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.tools.fakes.EntryFixture;
+import org.waxwingbeam.tools.fakes.HostileTarget;
+import org.waxwingbeam.tools.fakes.RawAnswer;
+import org.waxwingbeam.tools.fakes.RawCaller;
+import org.waxwingbeam.tools.fakes.RawRequest;
+import org.waxwingbeam.tools.fakes.RotatingDispatcher;
+import org.waxwingbeam.tools.fakes.TableClaimClient;
+
+/**
+ * Sends a request that crashes every target that runs it, again and again through four entry
+ * instances that share what they have seen, between ordinary requests of two client accounts.
+ */
+final class PoisonRun implements AutoCloseable {
+  private static final int ENTRIES = 4;
+  private static final int TARGETS = 8;
+  private static final String CRASHING_PATH = "/listings/crash";
+
+  private final SplittableRandom random;
+  private final List<HostileTarget> targets = new ArrayList<>();
+  private final List<EntryFixture> entries = new ArrayList<>();
+  private final List<PoisonList> lists = new ArrayList<>();
+  private final AtomicInteger crashes = new AtomicInteger();
+  private int refused;
+  private int ordinary;
+  private int ordinaryAnswered;
+
+  PoisonRun(long seed) throws IOException {
+    random = new SplittableRandom(seed);
+    for (int i = 0; i < TARGETS; i++) {
+      targets.add(new HostileTarget(this::serve));
+    }
+    List<TargetId> ids = targets.stream().map(HostileTarget::id).toList();
+    Parameters parameters = Parameters.NONE.with(Parameter.RETRY_BUDGET, 100);
+    for (int i = 0; i < ENTRIES; i++) {
+      lists.add(new PoisonList());
+      EntryFixture.Shared shared =
+          new EntryFixture.Shared("entry-" + i, new TableClaimClient(), lists.get(i));
+      entries.add(
+          new EntryFixture(
+              new RotatingDispatcher(ids), parameters, EntryFixture.ORDINARY_LIMITS, shared));
+    }
+  }
+
+  private void serve(HostileTarget.Connection connection) throws IOException {
+    Optional<RawRequest> request = connection.run();
+    while (request.isPresent()) {
+      if (request.get().line().contains(CRASHING_PATH)
+          && request.get().header("host").equals(Optional.of(EntryFixture.HOST))) {
+        crashes.incrementAndGet();
+        connection.reset();
+        return;
+      }
+      connection.write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+      request = connection.run();
+    }
+  }
+
+  /** Sends the crashing request a number of times, each time at a random entry instance. */
+  PoisonRun run(int times) throws IOException {
+    for (int i = 0; i < times; i++) {
+      Optional<RawAnswer> answer = send(EntryFixture.HOST, CRASHING_PATH);
+      boolean isRefusal =
+          answer
+              .flatMap(each -> each.header("waxwingbeam-error"))
+              .equals(Optional.of("poison-request"));
+      refused += isRefusal ? 1 : 0;
+      share();
+      sendOrdinary(EntryFixture.HOST, "/listings/other");
+      sendOrdinary(EntryFixture.OTHER_HOST, CRASHING_PATH);
+    }
+    return this;
+  }
+
+  /** Spreads what each entry instance has seen, before the caller sends again. */
+  private void share() {
+    long now = System.nanoTime();
+    List<PoisonRecord> records =
+        lists.stream().flatMap(each -> each.takeChanges(now).stream()).toList();
+    lists.forEach(list -> records.forEach(record -> list.merge(now, record)));
+  }
+
+  private void sendOrdinary(String host, String path) throws IOException {
+    ordinary++;
+    ordinaryAnswered += send(host, path).filter(each -> each.status() == 200).isPresent() ? 1 : 0;
+  }
+
+  private Optional<RawAnswer> send(String host, String path) throws IOException {
+    EntryFixture entry = entries.get(random.nextInt(ENTRIES));
+    try (RawCaller caller = new RawCaller(entry.endpoint())) {
+      caller.send("GET %s HTTP/1.1\r\nhost: %s\r\n\r\n".formatted(path, host));
+      return caller.readAnswer(false);
+    }
+  }
+
+  int crashes() {
+    return crashes.get();
+  }
+
+  int refused() {
+    return refused;
+  }
+
+  int ordinaryUnanswered() {
+    return ordinary - ordinaryAnswered;
+  }
+
+  @Override
+  public void close() throws IOException {
+    entries.forEach(EntryFixture::close);
+    for (HostileTarget target : targets) {
+      target.close();
+    }
+  }
+}
