--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -259,6 +259,10 @@
 
   @Override
   public void onConnected(Attempt attempt) {
+    if (limits.headLeftNanos(context.clock().getAsLong()) <= 0) {
+      onDeadline();
+      return;
+    }
     attempt.target().ifPresent(used::add);
     caller.continueIfExpected();
     attempt.send(outgoingHead(), requestId, body);
--- /dev/null
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/caller/ErrorTableTest.java
@@ -0,0 +1,30 @@
+package org.waxwingbeam.caller;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.waxwingbeam.model.ErrorKind;
+
+class ErrorTableTest {
+  @Test
+  void pageAgreesWithTheCode() throws Exception {
+    Path page = Path.of(System.getProperty("waxwingbeam.root"), "docs", "ERRORS.md");
+
+    assertThat(Files.readString(page)).isEqualTo(ErrorTable.markdown());
+  }
+
+  @Test
+  void noFailureThatMayHaveRunIsAnsweredAsNotRun() {
+    List<AttemptFailure> wrong =
+        Arrays.stream(RetryReason.values())
+            .map(AttemptFailure::of)
+            .filter(each -> each.mayHaveRun() != (each.kind().run() == ErrorKind.Run.UNKNOWN))
+            .toList();
+
+    assertThat(wrong).isEmpty();
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/ErrorsCommand.java
@@ -0,0 +1,30 @@
+package org.waxwingbeam.tools;
+
+import java.io.PrintStream;
+import java.util.List;
+import org.waxwingbeam.caller.ErrorTable;
+import org.waxwingbeam.daemon.Command;
+import org.waxwingbeam.daemon.ExitCode;
+
+/** Prints the page on error kinds. */
+final class ErrorsCommand implements Command {
+  @Override
+  public String name() {
+    return "errors";
+  }
+
+  @Override
+  public String summary() {
+    return "print the table of error kinds (docs/ERRORS.md)";
+  }
+
+  @Override
+  public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) {
+    if (!arguments.isEmpty()) {
+      err.println("waxwingbeam errors: unexpected '%s'".formatted(arguments.getFirst()));
+      return ExitCode.USAGE;
+    }
+    out.print(ErrorTable.markdown());
+    return ExitCode.OK;
+  }
+}
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -32,6 +32,7 @@
           new OperateCommand(),
           new TargetCommand(),
           new LoadCommand(),
+          new ErrorsCommand(),
           new MeasureCommand(MEASUREMENTS));
 
   private Main() {}
--- /dev/null
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/AnswerFramingTest.java
@@ -0,0 +1,163 @@
+package org.waxwingbeam.tools.request;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.waxwingbeam.model.Parameters;
+import org.waxwingbeam.tools.fakes.EntryFixture;
+import org.waxwingbeam.tools.fakes.HostileTarget;
+import org.waxwingbeam.tools.fakes.RawAnswer;
+import org.waxwingbeam.tools.fakes.RawCaller;
+import org.waxwingbeam.tools.fakes.RotatingDispatcher;
+
+/** Gives answers whose framing is wrong, from a target that echoes no request id. */
+@Timeout(120)
+class AnswerFramingTest {
+  private static final String GET =
+      "GET /listings/one HTTP/1.1\r\nhost: alpha.orders.example\r\n\r\n";
+  private static final String PLAIN =
+      "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 5\r\n\r\nwhole";
+  private static final String CHUNKED =
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nwh\r\n3\r\nole\r\n0\r\n\r\n";
+
+  @Test
+  void answerCutAtAnyByteIsNeverTakenForWhole() throws Exception {
+    for (String answer : List.of(PLAIN, CHUNKED)) {
+      for (int length = 0; length <= answer.length(); length++) {
+        String sent = answer.substring(0, length);
+        String got = outcomeOf(connection -> connection.write(sent));
+        String expected = length == answer.length() ? "200 whole" : "lost";
+        assertWithMessage(sent).that(got).isEqualTo(expected);
+      }
+    }
+  }
+
+  @Test
+  void ambiguousAnswersAreNotPassedOn() throws Exception {
+    String head = "HTTP/1.1 200 OK\r\n";
+    List<String> answers =
+        List.of(
+            head + "content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+            head + "content-length: 5\r\ncontent-length: 6\r\n\r\nwhole!",
+            head + "content-length: five\r\n\r\nwhole",
+            head + "transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+            head + "\r\nwhole until the connection ends",
+            "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+            "HTTP/1.1 abc OK\r\n\r\n",
+            "+OK\r\n\r\n");
+    for (String answer : answers) {
+      assertWithMessage(answer)
+          .that(outcomeOf(connection -> connection.write(answer)))
+          .isEqualTo("502 malformed-answer");
+    }
+  }
+
+  @Test
+  void provisionalAnswersAreSkipped() throws Exception {
+    String provisional = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nlink: </a>\r\n\r\n";
+
+    assertThat(outcomeOf(connection -> connection.write(provisional + PLAIN)))
+        .isEqualTo("200 whole");
+  }
+
+  @Test
+  void surplusBytesReachNobody() throws Exception {
+    for (String surplus : List.of(PLAIN.replace("whole", "other"), "x", "\r\n")) {
+      HostileTarget.Script script =
+          connection -> {
+            while (connection.run().isPresent()) {
+              connection.write(PLAIN + surplus);
+            }
+          };
+      try (HostileTarget target = new HostileTarget(script);
+          EntryFixture entry = entry(target);
+          RawCaller caller = new RawCaller(entry.endpoint())) {
+        for (int i = 0; i < 5; i++) {
+          caller.send(GET);
+          assertThat(caller.readAnswer(false).map(RawAnswer::body)).hasValue("whole");
+        }
+        assertWithMessage("connections").that(target.connections()).isEqualTo(5);
+      }
+    }
+  }
+
+  @Test
+  void answerThatComesWhileNobodyAskedEndsItsConnection() throws Exception {
+    HostileTarget.Script script =
+        connection -> {
+          if (connection.run().isPresent()) {
+            connection.write(PLAIN);
+            Thread.sleep(50);
+            connection.write(PLAIN.replace("whole", "other"));
+            connection.run();
+          }
+        };
+    try (HostileTarget target = new HostileTarget(script);
+        EntryFixture entry = entry(target);
+        RawCaller caller = new RawCaller(entry.endpoint())) {
+      caller.send(GET);
+      assertThat(caller.readAnswer(false).map(RawAnswer::body)).hasValue("whole");
+      while (entry.connections().openConnections(target.id()) > 0) {
+        Thread.sleep(5);
+      }
+      caller.send(GET);
+
+      assertThat(caller.readAnswer(false).map(RawAnswer::body)).hasValue("whole");
+      assertThat(target.connections()).isEqualTo(2);
+    }
+  }
+
+  @Test
+  void answerBeforeTheRequestIsWholeEndsBothConnections() throws Exception {
+    HostileTarget.Script early =
+        connection -> {
+          connection.readBytes(20);
+          connection.write("HTTP/1.1 413 Too Large\r\ncontent-length: 2\r\n\r\nno");
+          connection.readBytes(100_000);
+        };
+    try (HostileTarget target = new HostileTarget(early);
+        EntryFixture entry = entry(target);
+        RawCaller caller = new RawCaller(entry.endpoint())) {
+      caller.send(
+          "POST /uploads/x HTTP/1.1\r\nhost: alpha.orders.example\r\ncontent-length: 90000\r\n\r\n");
+      caller.send("a".repeat(1_000));
+      RawAnswer answer = caller.readAnswer(false).orElseThrow();
+
+      assertThat(answer.status()).isEqualTo(413);
+      assertThat(answer.header("connection")).hasValue("close");
+      assertThat(caller.isClosedByPeer()).isTrue();
+      assertThat(entry.connections().openConnections(target.id())).isEqualTo(0);
+    }
+  }
+
+  /** Returns what a caller gets if the target answers by a script and closes the connection. */
+  private static String outcomeOf(HostileTarget.Script answer) throws IOException {
+    HostileTarget.Script script =
+        connection -> {
+          if (connection.run().isPresent()) {
+            answer.serve(connection);
+          }
+        };
+    try (HostileTarget target = new HostileTarget(script);
+        EntryFixture entry = entry(target);
+        RawCaller caller = new RawCaller(entry.endpoint())) {
+      caller.send(GET);
+      return describe(caller.readAnswer(false));
+    }
+  }
+
+  private static String describe(Optional<RawAnswer> answer) {
+    Optional<String> error = answer.flatMap(each -> each.header("waxwingbeam-error"));
+    boolean lost = answer.isEmpty() || error.equals(Optional.of("target-lost"));
+    return lost ? "lost" : answer.get().status() + " " + error.orElse(answer.get().body());
+  }
+
+  private static EntryFixture entry(HostileTarget target) {
+    return new EntryFixture(new RotatingDispatcher(List.of(target.id())), Parameters.NONE);
+  }
+}
