Choice policies behind one sealed interface, and fakes to compare them

Twelve policies are selectable by name: random, round robin, least outstanding (of two, of all), peak EWMA, probed pool, few senders, shared counts, and partitioned concurrency limits (quota) by rendezvous hash over the entry view at several overcommits; the default quota adapts its overcommit from 3 to 4 while requests wait. Unhealthy targets lose traffic by ejection with doubling times and single trials, unless more than half would go; a failure keeps its place for the usual latency, so that failing fast attracts nothing.

tools.fakes holds a manual clock, targets with slots, queues, noisy neighbours, cold starts and faults, and entries around the real dispatcher. waxwingbeam measure choice compares all policies on them.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Attempt.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Attempt.java
@@ -9,6 +9,7 @@
   private final Optional<VersionName> version;
   private final ServiceDispatcher dispatcher;
   private TargetState target;
+  private long boundNanos;
 
   /**
    * Creates an attempt that has no target yet.
@@ -38,7 +39,13 @@
     return Optional.ofNullable(target);
   }
 
-  void bind(TargetState chosen) {
+  void bind(long nowNanos, TargetState chosen) {
+    boundNanos = nowNanos;
     target = chosen;
   }
+
+  /** Returns when the attempt was given its target. */
+  long boundNanos() {
+    return boundNanos;
+  }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/DispatchContext.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/DispatchContext.java
@@ -2,20 +2,21 @@
 
 import java.util.concurrent.ConcurrentMap;
 import java.util.function.Supplier;
+import org.waxwingbeam.control.LeasedEntryView;
 import org.waxwingbeam.model.Configuration;
 
 /**
  * Holds what the dispatchers of all services share.
  *
+ * @param settings the entry instance and its policy
  * @param registry the targets of every service
  * @param configuration the configuration that this entry instance applies
- * @param policy how targets are chosen
- * @param seed the seed of random choices
+ * @param view the live entry instances
  * @param attempts every attempt that waits or is under way, by its identifier
  */
 record DispatchContext(
+    DispatchSettings settings,
     TargetRegistry registry,
     Supplier<Configuration> configuration,
-    ChoicePolicy policy,
-    long seed,
+    Supplier<LeasedEntryView> view,
     ConcurrentMap<Long, Attempt> attempts) {}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/EntryDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/EntryDispatcher.java
@@ -1,13 +1,17 @@
 package org.waxwingbeam.target;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
+import org.waxwingbeam.control.LeasedEntryView;
 import org.waxwingbeam.model.Configuration;
+import org.waxwingbeam.model.InstanceName;
 import org.waxwingbeam.model.ServiceName;
+import org.waxwingbeam.model.TargetId;
 import org.waxwingbeam.model.VersionName;
 import org.waxwingbeam.target.version.VersionSelector;
 
@@ -28,20 +32,20 @@
   /**
    * Creates a dispatcher.
    *
+   * @param settings the entry instance and its policy
    * @param registry the targets of every service
    * @param configuration gives the configuration that this entry instance applies
+   * @param view gives the live entry instances
    * @param versions selects the version for each attempt
-   * @param policy how targets are chosen
-   * @param seed the seed of random choices
    */
   public EntryDispatcher(
+      DispatchSettings settings,
       TargetRegistry registry,
       Supplier<Configuration> configuration,
-      VersionSelector versions,
-      ChoicePolicy policy,
-      long seed) {
+      Supplier<LeasedEntryView> view,
+      VersionSelector versions) {
     this.versions = versions;
-    this.context = new DispatchContext(registry, configuration, policy, seed, attempts);
+    this.context = new DispatchContext(settings, registry, configuration, view, attempts);
   }
 
   @Override
@@ -54,7 +58,7 @@
     Attempt attempt = new Attempt(request, version, dispatcher);
     attempts.put(request.attemptId(), attempt);
     synchronized (dispatcher) {
-      return dispatcher.request(attempt);
+      return dispatcher.request(nowNanos, attempt);
     }
   }
 
@@ -66,7 +70,7 @@
     }
     ServiceDispatcher dispatcher = attempt.dispatcher();
     synchronized (dispatcher) {
-      return dispatcher.complete(attempt);
+      return dispatcher.complete(nowNanos, attempt, completion);
     }
   }
 
@@ -87,10 +91,58 @@
 
   @Override
   public List<Decision> tick(long nowNanos) {
-    return services.values().stream().flatMap(each -> tick(nowNanos, each)).toList();
+    return services.values().stream().flatMap(each -> tickIfWaiting(nowNanos, each)).toList();
   }
 
-  private static Stream<Decision> tick(long nowNanos, ServiceDispatcher dispatcher) {
+  /**
+   * Notes what a probe of a target has told.
+   *
+   * @param nowNanos the entry's monotonic clock
+   * @param service the service of the target
+   * @param target the target
+   * @param report what it said of its load
+   * @param latencyNanos time to the answer
+   */
+  public void noteProbe(
+      long nowNanos, ServiceName service, TargetId target, LoadReport report, long latencyNanos) {
+    ServiceDispatcher dispatcher = dispatcher(service);
+    synchronized (dispatcher) {
+      dispatcher.noteProbe(nowNanos, target, report, latencyNanos);
+    }
+  }
+
+  /**
+   * Notes how many requests another entry instance has under way at each target of a service.
+   *
+   * @param service the service
+   * @param entry the other entry instance
+   * @param outstanding its requests under way by target
+   */
+  public void noteOutstanding(
+      ServiceName service, InstanceName entry, Map<TargetId, Integer> outstanding) {
+    ServiceDispatcher dispatcher = dispatcher(service);
+    synchronized (dispatcher) {
+      dispatcher.noteOutstanding(entry, outstanding);
+    }
+  }
+
+  /**
+   * Returns how many requests this entry instance has under way at each target of a service.
+   *
+   * @param service the service
+   */
+  public Map<TargetId, Integer> outstanding(ServiceName service) {
+    ServiceDispatcher dispatcher = dispatcher(service);
+    synchronized (dispatcher) {
+      return dispatcher.outstanding();
+    }
+  }
+
+  private ServiceDispatcher dispatcher(ServiceName service) {
+    return services.computeIfAbsent(service, name -> new ServiceDispatcher(name, context));
+  }
+
+  private static Stream<Decision> tickIfWaiting(long nowNanos, ServiceDispatcher dispatcher) {
     synchronized (dispatcher) {
       return dispatcher.isWaiting() ? dispatcher.tick(nowNanos).stream() : Stream.empty();
     }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/ServiceDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/ServiceDispatcher.java
@@ -6,8 +6,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+import org.waxwingbeam.control.EntryView;
 import org.waxwingbeam.model.Configuration;
 import org.waxwingbeam.model.ErrorKind;
+import org.waxwingbeam.model.InstanceName;
 import org.waxwingbeam.model.ServiceName;
 import org.waxwingbeam.model.TargetId;
 import org.waxwingbeam.model.VersionName;
@@ -24,36 +27,61 @@
   private final ServiceName service;
   private final DispatchContext context;
   private final Chooser chooser;
+  private final Overcommit overcommit;
+  private final TypicalLatency typical = new TypicalLatency();
   private final WaitingQueue queue = new WaitingQueue();
   private final Map<TargetId, TargetState> states = new HashMap<>();
   private final Map<Optional<VersionName>, List<TargetState>> usable = new HashMap<>();
   private final List<Decision> undelivered = new ArrayList<>();
   private List<TargetAnnouncement> announced = List.of();
   private Configuration configuration = Configuration.EMPTY;
+  private EntryView view = EntryView.EMPTY;
 
   ServiceDispatcher(ServiceName service, DispatchContext context) {
     this.service = service;
     this.context = context;
-    long seed = context.seed() ^ service.value().hashCode();
-    this.chooser = new Chooser(context.policy(), new SplittableRandom(seed));
+    long seed = context.settings().seed() ^ service.value().hashCode();
+    this.chooser = new Chooser(context.settings().policy(), new SplittableRandom(seed));
+    this.overcommit = new Overcommit(context.settings().policy());
   }
 
-  Decision request(Attempt attempt) {
+  Decision request(long nowNanos, Attempt attempt) {
     refresh();
-    List<TargetState> targets = usable(attempt.version());
-    if (targets.isEmpty()) {
+    if (usable(attempt.version()).isEmpty()) {
       return refusal(attempt, ErrorKind.NO_TARGET, NO_TARGET_RETRY_MS);
     }
-    if (queue.isEmpty() && tryBind(attempt)) {
+    if (queue.isEmpty() && tryBind(nowNanos, attempt)) {
       return assignment(attempt);
     }
     return enqueue(attempt);
   }
 
-  List<Decision> complete(Attempt attempt) {
+  List<Decision> complete(long nowNanos, Attempt attempt, Completion completion) {
     refresh();
-    attempt.target().ifPresent(TargetState::end);
-    return assignWaiting();
+    attempt.target().ifPresent(target -> noteEnd(nowNanos, attempt, target, completion));
+    return assignWaiting(nowNanos);
+  }
+
+  void noteProbe(long nowNanos, TargetId target, LoadReport report, long latencyNanos) {
+    refresh();
+    Optional.ofNullable(states.get(target))
+        .ifPresent(
+            state -> {
+              state.noteReport(nowNanos, report);
+              state.noteLatency(nowNanos, (double) latencyNanos);
+            });
+  }
+
+  void noteOutstanding(InstanceName entry, Map<TargetId, Integer> outstanding) {
+    refresh();
+    states.forEach(
+        (target, state) -> state.noteElsewhere(entry, outstanding.getOrDefault(target, 0)));
+  }
+
+  Map<TargetId, Integer> outstanding() {
+    refresh();
+    return states.values().stream()
+        .collect(Collectors.toMap(TargetState::id, TargetState::inFlight));
   }
 
   void cancel(Attempt attempt) {
@@ -65,7 +93,7 @@
     queue
         .removeOverdue(nowNanos)
         .forEach(each -> undelivered.add(refusal(each, ErrorKind.DEADLINE_BEFORE_START, 0)));
-    return assignWaiting();
+    return assignWaiting(nowNanos);
   }
 
   /** Returns whether decisions may become final without a new request or completion. */
@@ -73,7 +101,21 @@
     return !queue.isEmpty() || !undelivered.isEmpty();
   }
 
+  private void noteEnd(long nowNanos, Attempt attempt, TargetState target, Completion completion) {
+    target.end(attempt.boundNanos());
+    completion.report().ifPresent(report -> target.noteReport(nowNanos, report));
+    double latency = completion.headLatencyNanos();
+    target.health().note(nowNanos, completion.outcome(), latency, typical.nanos());
+    if (completion.outcome() == Outcome.SUCCESS) {
+      target.noteLatency(nowNanos, latency);
+      typical.note(latency);
+    }
+  }
+
   private Decision enqueue(Attempt attempt) {
+    if (attempt.request().queueLimit() == 0) {
+      return refusal(attempt, ErrorKind.OVERLOADED, OVERLOADED_RETRY_MS);
+    }
     Optional<Attempt> shed = queue.add(attempt, attempt.request().queueLimit());
     if (shed.isPresent() && shed.get() == attempt) {
       return refusal(attempt, ErrorKind.OVERLOADED, OVERLOADED_RETRY_MS);
@@ -83,24 +125,30 @@
     return new Decision.Queued(attempt.request().attemptId());
   }
 
-  private List<Decision> assignWaiting() {
-    Optional<Attempt> next = queue.poll(this::tryBind);
+  private List<Decision> assignWaiting(long nowNanos) {
+    overcommit.adapt(nowNanos, queue.size());
+    Optional<Attempt> next = queue.poll(each -> tryBind(nowNanos, each));
     while (next.isPresent()) {
       undelivered.add(assignment(next.get()));
-      next = queue.poll(this::tryBind);
+      next = queue.poll(each -> tryBind(nowNanos, each));
     }
     List<Decision> decisions = List.copyOf(undelivered);
     undelivered.clear();
     return decisions;
   }
 
-  private boolean tryBind(Attempt attempt) {
+  private boolean tryBind(long nowNanos, Attempt attempt) {
     Optional<TargetState> chosen =
-        chooser.choose(usable(attempt.version()), attempt.request().excluded());
+        chooser.choose(
+            nowNanos,
+            usable(attempt.version()),
+            attempt.request().excluded(),
+            overcommit.level(),
+            typical.nanos());
     chosen.ifPresent(
         target -> {
-          target.begin();
-          attempt.bind(target);
+          target.begin(nowNanos);
+          attempt.bind(nowNanos, target);
         });
     return chosen.isPresent();
   }
@@ -118,20 +166,41 @@
   private void refresh() {
     List<TargetAnnouncement> latest = context.registry().targets(service);
     Configuration latestConfiguration = context.configuration().get();
-    if (latest == announced && latestConfiguration.number() == configuration.number()) {
+    EntryView latestView = context.view().get().view();
+    if (latest == announced
+        && latestConfiguration.number() == configuration.number()
+        && latestView.number() == view.number()) {
       return;
     }
     announced = latest;
     configuration = latestConfiguration;
+    view = latestView;
     Map<TargetId, TargetState> before = new HashMap<>(states);
     states.clear();
     latest.forEach(each -> states.put(each.target(), state(before.get(each.target()), each)));
     usable.clear();
+    partition();
+  }
+
+  private void partition() {
+    List<InstanceName> entries = view.members().stream().map(EntryView.Member::name).toList();
+    List<TargetState> targets = announced.stream().map(each -> states.get(each.target())).toList();
+    overcommit.partition(targets, entries, context.settings().self());
+    if (context.settings().policy() instanceof ChoicePolicy.FewSenders few) {
+      targets.forEach(each -> each.setPreferred(isSender(each, entries, few.senders())));
+    }
+  }
+
+  private boolean isSender(TargetState target, List<InstanceName> entries, int senders) {
+    InstanceName self = context.settings().self();
+    long own = RendezvousHash.score(target.id(), self);
+    return entries.stream().filter(each -> RendezvousHash.score(target.id(), each) > own).count()
+        < senders;
   }
 
-  private static TargetState state(TargetState before, TargetAnnouncement latest) {
+  private TargetState state(TargetState before, TargetAnnouncement latest) {
     if (before == null || before.announcement().bootId() != latest.bootId()) {
-      return new TargetState(latest);
+      return new TargetState(latest, latest.dataCentre().equals(context.settings().dataCentre()));
     }
     before.update(latest);
     return before;
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/EntryDispatcherTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/EntryDispatcherTest.java
@@ -8,10 +8,12 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
+import org.waxwingbeam.control.LeasedEntryView;
 import org.waxwingbeam.model.AccountName;
 import org.waxwingbeam.model.Configuration;
 import org.waxwingbeam.model.DataCentreName;
 import org.waxwingbeam.model.ErrorKind;
+import org.waxwingbeam.model.InstanceName;
 import org.waxwingbeam.model.RouteName;
 import org.waxwingbeam.model.ServiceName;
 import org.waxwingbeam.model.TargetId;
@@ -22,17 +24,19 @@
 class EntryDispatcherTest {
   private static final ServiceName SERVICE = new ServiceName("listing");
   private static final VersionName V1 = new VersionName("v1");
+  private static final InstanceName SELF = new InstanceName("entry-1");
   private static final DataCentreName NORTH = new DataCentreName("north");
 
   private final TargetRegistry registry = new TargetRegistry();
   private Configuration configuration = Configuration.EMPTY;
   private final EntryDispatcher dispatcher =
       new EntryDispatcher(
+          new DispatchSettings(
+              SELF, NORTH, new ChoicePolicy.LeastOutstanding(Integer.MAX_VALUE), 1),
           registry,
           () -> configuration,
-          VersionSelector.ANY,
-          new ChoicePolicy.LeastOutstanding(Integer.MAX_VALUE),
-          1);
+          () -> LeasedEntryView.NONE,
+          VersionSelector.ANY);
 
   @Test
   void serviceWithoutTargetsIsRefusedUnrun() {
--- /dev/null
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/TargetHealthTest.java
@@ -0,0 +1,70 @@
+package org.waxwingbeam.target;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class TargetHealthTest {
+  private static final long MS = 1_000_000;
+  private static final double TYPICAL = 8 * MS;
+
+  private final TargetHealth health = new TargetHealth();
+
+  @Test
+  void threeFailuresInRowEject() {
+    health.note(0, Outcome.FAILURE, MS, TYPICAL);
+    health.note(0, Outcome.FAILURE, MS, TYPICAL);
+    assertThat(health.isSuspect(0)).isFalse();
+
+    health.note(0, Outcome.FAILURE, MS, TYPICAL);
+    assertThat(health.isSuspect(0)).isTrue();
+    assertThat(health.allowsTrial(99 * MS)).isFalse();
+    assertThat(health.allowsTrial(100 * MS)).isTrue();
+  }
+
+  @Test
+  void threeGoodTrialsEndTheEjection() {
+    fail(0, 3);
+    for (int trial = 0; trial < 3; trial++) {
+      assertThat(health.isSuspect(200 * MS)).isTrue();
+      health.note(200 * MS, Outcome.SUCCESS, TYPICAL, TYPICAL);
+    }
+    assertThat(health.isSuspect(200 * MS)).isFalse();
+  }
+
+  @Test
+  void failedTrialEjectsForTwiceTheTime() {
+    fail(0, 3);
+    fail(100 * MS, 1);
+
+    assertThat(health.allowsTrial(299 * MS)).isFalse();
+    assertThat(health.allowsTrial(300 * MS)).isTrue();
+  }
+
+  @Test
+  void fastFailureHoldsItsPlaceForTheTypicalLatency() {
+    health.note(0, Outcome.FAILURE, MS, TYPICAL);
+
+    assertThat(health.held(7 * MS - 1)).isEqualTo(1);
+    assertThat(health.held(7 * MS)).isEqualTo(0);
+  }
+
+  @Test
+  void slowAnswersEjectAndQuickOnesBetweenThemDoNot() {
+    health.note(0, Outcome.SUCCESS, 7 * TYPICAL, TYPICAL);
+    health.note(0, Outcome.SUCCESS, 7 * TYPICAL, TYPICAL);
+    health.note(0, Outcome.SUCCESS, TYPICAL, TYPICAL);
+    health.note(0, Outcome.SUCCESS, 7 * TYPICAL, TYPICAL);
+    assertThat(health.isSuspect(0)).isFalse();
+
+    health.note(0, Outcome.SUCCESS, 7 * TYPICAL, TYPICAL);
+    health.note(0, Outcome.SUCCESS, 7 * TYPICAL, TYPICAL);
+    assertThat(health.isSuspect(0)).isTrue();
+  }
+
+  private void fail(long nowNanos, int times) {
+    for (int count = 0; count < times; count++) {
+      health.note(nowNanos, Outcome.FAILURE, MS, TYPICAL);
+    }
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/choice/ChoiceMeasurement.java
@@ -0,0 +1,128 @@
+package org.waxwingbeam.tools.choice;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.ToDoubleFunction;
+import org.waxwingbeam.target.ChoicePolicy;
+import org.waxwingbeam.tools.fakes.FakeEntry.Hedging;
+import org.waxwingbeam.tools.fakes.FleetRecord;
+import org.waxwingbeam.tools.fakes.FleetShape;
+import org.waxwingbeam.tools.measure.Measurement;
+import org.waxwingbeam.tools.measure.MeasurementOptions;
+import org.waxwingbeam.tools.measure.MeasurementReport;
+import org.waxwingbeam.tools.measure.MeasurementReport.Bound;
+import org.waxwingbeam.tools.measure.MeasurementReport.Limit;
+import org.waxwingbeam.tools.measure.MeasurementReport.Table;
+
+/**
+ * Compares the policies for the choice of targets at several loads, with and without faults.
+ *
+ * @since 0.1.0
+ */
+public final class ChoiceMeasurement implements Measurement {
+  private static final String CHOSEN = ChoicePolicy.DEFAULT_NAME;
+  private static final String HEDGED = CHOSEN + "+hedging";
+  private static final Hedging HEDGING = new Hedging(TimeUnit.MILLISECONDS.toNanos(25), 0.05, 10);
+  private static final List<Integer> LOADS_PERCENT = List.of(50, 70, 85, 95, 120);
+  private static final int LEAST_BOUND_LOAD_PERCENT = 70;
+  private static final long LONG_NANOS = TimeUnit.SECONDS.toNanos(4);
+  private static final long BRIEF_NANOS = TimeUnit.MILLISECONDS.toNanos(750);
+
+  @Override
+  public String name() {
+    return "choice";
+  }
+
+  @Override
+  public String summary() {
+    return "tail latency of every policy for the choice of targets";
+  }
+
+  @Override
+  public MeasurementReport run(MeasurementOptions options) {
+    List<Table> tables = new ArrayList<>();
+    List<Bound> bounds = new ArrayList<>();
+    for (ChoiceScenario scenario : ChoiceScenario.values()) {
+      for (int load : LOADS_PERCENT) {
+        Map<String, FleetRecord> records = compare(options, scenario, load);
+        String title = "%s, load %d%%".formatted(scenario.title(), load);
+        tables.add(table(title, records, seconds(options)));
+        if (load >= LEAST_BOUND_LOAD_PERCENT) {
+          bounds.add(bound(title + ": p99", records, each -> millis(each, 99)));
+          bounds.add(bound(title + ": p99.9", records, each -> millis(each, 99.9)));
+        }
+      }
+    }
+    return new MeasurementReport(tables, bounds);
+  }
+
+  private static Map<String, FleetRecord> compare(
+      MeasurementOptions options, ChoiceScenario scenario, int load) {
+    Map<String, FleetRecord> records = new LinkedHashMap<>();
+    long nanos = options.brief() ? BRIEF_NANOS : LONG_NANOS;
+    ChoicePolicy.all()
+        .forEach(
+            (name, policy) ->
+                records.put(
+                    name,
+                    new ChoiceRun(FleetShape.LISTING, policy, Hedging.NONE, scenario, load, nanos)
+                        .run(options.seeds())));
+    ChoicePolicy chosen = ChoicePolicy.named(CHOSEN).orElseThrow();
+    records.put(
+        HEDGED,
+        new ChoiceRun(FleetShape.LISTING, chosen, HEDGING, scenario, load, nanos)
+            .run(options.seeds()));
+    return records;
+  }
+
+  private static double seconds(MeasurementOptions options) {
+    long nanos = options.brief() ? BRIEF_NANOS : LONG_NANOS;
+    return options.seeds().count() * (double) nanos / TimeUnit.SECONDS.toNanos(1);
+  }
+
+  private static Table table(String title, Map<String, FleetRecord> records, double seconds) {
+    List<List<String>> rows =
+        records.entrySet().stream()
+            .map(each -> row(each.getKey(), each.getValue(), seconds))
+            .toList();
+    return new Table(
+        title + " (ms; refused and failed in % of requests; probes in ms of target time a second)",
+        List.of("policy", "p50", "p99", "p99.9", "refused", "failed", "probes", "most/mean"),
+        rows);
+  }
+
+  private static List<String> row(String policy, FleetRecord record, double seconds) {
+    return List.of(
+        policy,
+        "%.1f".formatted(millis(record, 50)),
+        "%.1f".formatted(millis(record, 99)),
+        "%.1f".formatted(millis(record, 99.9)),
+        "%.2f".formatted(100.0 * record.refused() / record.total()),
+        "%.2f".formatted(100.0 * record.failures() / record.total()),
+        "%.1f".formatted(record.probeNanos() / 1e6 / seconds),
+        "%.2f".formatted(record.imbalance()));
+  }
+
+  private static Bound bound(
+      String what, Map<String, FleetRecord> records, ToDoubleFunction<FleetRecord> value) {
+    double best =
+        records.entrySet().stream()
+            .filter(each -> !isQuota(each.getKey()))
+            .mapToDouble(each -> value.applyAsDouble(each.getValue()))
+            .min()
+            .orElseThrow();
+    double seen = value.applyAsDouble(records.get(CHOSEN));
+    return new Bound(what + " of " + CHOSEN + " (ms)", seen, Limit.AT_MOST, best);
+  }
+
+  private static boolean isQuota(String policy) {
+    return policy.startsWith(CHOSEN);
+  }
+
+  private static double millis(FleetRecord record, double percentile) {
+    return record.latencyMicros().getValueAtPercentile(percentile) / 1e3;
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/choice/ChoiceScenario.java
@@ -0,0 +1,63 @@
+package org.waxwingbeam.tools.choice;
+
+import java.util.concurrent.TimeUnit;
+import org.waxwingbeam.tools.fakes.FakeFleet;
+import org.waxwingbeam.tools.fakes.TargetFaults;
+
+/** Lists the faults under which policies are compared. */
+enum ChoiceScenario {
+  /** Noisy neighbours alone. */
+  NO_FAULT("no fault"),
+  /** Callers use some entries up to 30% more than the average. */
+  UNEVEN_CALLERS("uneven callers"),
+  /** A fifth of the targets always report that they are idle. */
+  LYING_REPORTS("lying reports"),
+  /** One target becomes ten times slower. */
+  SLOW_TARGET("slow target"),
+  /** One target fails half of its requests at once. */
+  FAST_FAILING_TARGET("fast-failing target"),
+  /** One target stops without a word and its announcement expires. */
+  LOST_TARGET("lost target");
+
+  private static final double UNEVENNESS = 0.3;
+  private static final double SLOW_FACTOR = 10;
+  private static final double FAILING_SHARE = 0.5;
+  private static final int LYING_TARGETS = 3;
+
+  private final String title;
+
+  ChoiceScenario(String title) {
+    this.title = title;
+  }
+
+  String title() {
+    return title;
+  }
+
+  double unevenness() {
+    return this == UNEVEN_CALLERS ? UNEVENNESS : 0;
+  }
+
+  /** Puts the fault in force at a time. */
+  void schedule(FakeFleet fleet, long atNanos) {
+    fleet.loop().at(atNanos, () -> breakDown(fleet));
+  }
+
+  private void breakDown(FakeFleet fleet) {
+    switch (this) {
+      case LYING_REPORTS ->
+          fleet.targets().stream()
+              .limit(LYING_TARGETS)
+              .forEach(target -> target.breakDown(TargetFaults.lyingReports()));
+      case SLOW_TARGET -> fleet.targets().getFirst().breakDown(TargetFaults.slow(SLOW_FACTOR));
+      case FAST_FAILING_TARGET ->
+          fleet.targets().getFirst().breakDown(TargetFaults.failingFast(FAILING_SHARE));
+      case LOST_TARGET -> fleet.targets().getFirst().stop();
+      default -> {} // nothing is wrong with the targets
+    }
+  }
+
+  static long warmUpNanos() {
+    return TimeUnit.MILLISECONDS.toNanos(500);
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/EventLoop.java
@@ -0,0 +1,57 @@
+package org.waxwingbeam.tools.fakes;
+
+import java.util.PriorityQueue;
+
+/**
+ * Runs tasks in the order of their times on a manual clock.
+ *
+ * @since 0.1.0
+ */
+public final class EventLoop {
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private long nowNanos;
+  private long sequence;
+
+  /** Returns the time of the task that runs, in nanoseconds. */
+  public long now() {
+    return nowNanos;
+  }
+
+  /** Runs a task at a time, or now if that has passed. */
+  public void at(long nanos, Runnable task) {
+    events.add(new Event(Math.max(nanos, nowNanos), sequence++, task));
+  }
+
+  /** Runs a task after a delay. */
+  public void after(long delayNanos, Runnable task) {
+    at(nowNanos + delayNanos, task);
+  }
+
+  /** Runs a task now and then again after each period. */
+  public void every(long periodNanos, Runnable task) {
+    at(
+        nowNanos,
+        () -> {
+          task.run();
+          after(periodNanos, () -> every(periodNanos, task));
+        });
+  }
+
+  /** Runs every task up to a time and moves the clock there. */
+  public void runUntil(long nanos) {
+    while (!events.isEmpty() && events.peek().nanos <= nanos) {
+      Event next = events.poll();
+      nowNanos = next.nanos;
+      next.task.run();
+    }
+    nowNanos = Math.max(nowNanos, nanos);
+  }
+
+  private record Event(long nanos, long sequence, Runnable task) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event other) {
+      int byTime = Long.compare(nanos, other.nanos);
+      return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
+    }
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/NoisyNeighbour.java
@@ -0,0 +1,62 @@
+package org.waxwingbeam.tools.fakes;
+
+import java.util.SplittableRandom;
+
+/**
+ * Slows a machine down in bursts: three or six times, for 5 to 500 ms, about every 2 s.
+ *
+ * @since 0.1.0
+ */
+public final class NoisyNeighbour {
+  private static final double MEAN_PAUSE_NANOS = 2e9;
+  private static final long SHORTEST_BURST_NANOS = 5_000_000;
+  private static final long LONGEST_BURST_NANOS = 500_000_000;
+
+  private final SplittableRandom random;
+  private final boolean quiet;
+  private long burstStart;
+  private long burstEnd;
+  private int slowdown;
+
+  /**
+   * Creates a neighbour.
+   *
+   * @param random decides when the bursts come
+   * @param quiet whether there are no bursts at all
+   */
+  public NoisyNeighbour(SplittableRandom random, boolean quiet) {
+    this.random = random;
+    this.quiet = quiet;
+    nextBurst();
+  }
+
+  /**
+   * Returns when a piece of work ends. Start times must not go back by more than one burst.
+   *
+   * @param startNanos when it starts
+   * @param workNanos how long it takes on a quiet machine
+   */
+  public long endOf(long startNanos, long workNanos) {
+    if (quiet) {
+      return startNanos + workNanos;
+    }
+    while (burstEnd <= startNanos) {
+      nextBurst();
+    }
+    long before = Math.max(0, burstStart - startNanos);
+    if (workNanos <= before) {
+      return startNanos + workNanos;
+    }
+    long at = Math.max(startNanos, burstStart);
+    long slowed = (workNanos - before) * slowdown;
+    long room = burstEnd - at;
+    return slowed <= room ? at + slowed : burstEnd + (slowed - room) / slowdown;
+  }
+
+  private void nextBurst() {
+    long pause = (long) (-Math.log(1 - random.nextDouble()) * MEAN_PAUSE_NANOS);
+    burstStart = burstEnd + pause;
+    burstEnd = burstStart + random.nextLong(SHORTEST_BURST_NANOS, LONGEST_BURST_NANOS);
+    slowdown = random.nextBoolean() ? 3 : 6;
+  }
+}
