--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -7,9 +7,11 @@
 import org.waxwingbeam.daemon.DaemonCommand;
 import org.waxwingbeam.daemon.ExitCode;
 import org.waxwingbeam.daemon.control.ControlDaemon;
+import org.waxwingbeam.daemon.entry.EntryDaemon;
 import org.waxwingbeam.daemon.operate.OperateCommand;
 import org.waxwingbeam.replica.ClaimMachine;
 import org.waxwingbeam.settings.SettingsReader;
+import org.waxwingbeam.tools.choice.ChoiceMeasurement;
 import org.waxwingbeam.tools.load.LoadCommand;
 import org.waxwingbeam.tools.measure.MeasureCommand;
 import org.waxwingbeam.tools.measure.Measurement;
@@ -18,7 +20,8 @@
 
 /** Starts the program with every command: the shipped daemons' and the tools'. */
 public final class Main {
-  private static final List<Measurement> MEASUREMENTS = List.of(new CapacityMeasurement());
+  private static final List<Measurement> MEASUREMENTS =
+      List.of(new ChoiceMeasurement(), new CapacityMeasurement());
   private static final List<Command> COMMANDS =
       List.of(
           new DaemonCommand<>(
@@ -26,6 +29,11 @@
               "run a control replica",
               SettingsReader::control,
               settings -> ControlDaemon.start(settings, new NoClaims())),
+          new DaemonCommand<>(
+              "entry",
+              "serve callers",
+              SettingsReader::entry,
+              settings -> EntryDaemon.start(settings)),
           new OperateCommand(),
           new TargetCommand(),
           new LoadCommand(),
