--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/CommandTable.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/CommandTable.java
@@ -63,7 +63,7 @@
     StringBuilder text = new StringBuilder();
     text.append("Usage: %s COMMAND [OPTION]...%n%nCommands:%n".formatted(program));
     commands.forEach(
-        command -> text.append("  %-10s %s%n".formatted(command.name(), command.summary())));
+        command -> text.append("  %-12s %s%n".formatted(command.name(), command.summary())));
     text.append("%nRun '%s COMMAND --help' for the options of one.%n".formatted(program));
     return text.toString();
   }
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -10,6 +10,7 @@
 import org.waxwingbeam.daemon.operate.OperateCommand;
 import org.waxwingbeam.replica.ClaimMachine;
 import org.waxwingbeam.settings.SettingsReader;
+import org.waxwingbeam.tools.demo.DemoReportCommand;
 import org.waxwingbeam.tools.load.LoadCommand;
 import org.waxwingbeam.tools.measure.MeasureCommand;
 import org.waxwingbeam.tools.measure.Measurement;
@@ -29,6 +30,7 @@
           new OperateCommand(),
           new TargetCommand(),
           new LoadCommand(),
+          new DemoReportCommand(),
           new MeasureCommand(MEASUREMENTS));
 
   private Main() {}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/demo/RecordedRun.java
@@ -0,0 +1,11 @@
+package org.waxwingbeam.tools.demo;
+
+/**
+ * One run of a request at a stand-in target.
+ *
+ * @param token the caller's token of the request
+ * @param key the idempotency key, or empty text
+ * @param dataCentre where the target runs
+ * @param startMs when it started, in milliseconds since the epoch
+ */
+record RecordedRun(String token, String key, String dataCentre, long startMs) {}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/demo/package-info.java
@@ -0,0 +1,2 @@
+/** Checks from outside what a run of real processes kept of the promises. */
+package org.waxwingbeam.tools.demo;
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/ReportPrinter.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/ReportPrinter.java
@@ -11,20 +11,23 @@
 import org.waxwingbeam.tools.measure.MeasurementReport.Table;
 
 /** Prints a measurement's report as aligned text or as JSON. */
-final class ReportPrinter {
+public final class ReportPrinter {
   private final PrintStream out;
 
-  ReportPrinter(PrintStream out) {
+  /** Creates a printer that writes to a stream. */
+  public ReportPrinter(PrintStream out) {
     this.out = out;
   }
 
-  void printText(String name, MeasurementReport report) {
+  /** Prints the tables, the bounds and one line with the verdict. */
+  public void printText(String name, MeasurementReport report) {
     report.tables().forEach(this::printTable);
     report.bounds().forEach(bound -> out.println(line(bound)));
     out.println(verdict(name, report));
   }
 
-  void printJson(String name, MeasurementReport report) {
+  /** Prints the report as one JSON object. */
+  public void printJson(String name, MeasurementReport report) {
     String tables = report.tables().stream().map(ReportPrinter::json).collect(jsonArray());
     String bounds = report.bounds().stream().map(ReportPrinter::json).collect(jsonArray());
     boolean held = report.bounds().stream().allMatch(Bound::held);
