--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -7,6 +7,7 @@
 import org.waxwingbeam.daemon.DaemonCommand;
 import org.waxwingbeam.daemon.ExitCode;
 import org.waxwingbeam.daemon.control.ControlDaemon;
+import org.waxwingbeam.daemon.entry.EntryDaemon;
 import org.waxwingbeam.daemon.operate.OperateCommand;
 import org.waxwingbeam.replica.ClaimMachine;
 import org.waxwingbeam.settings.SettingsReader;
@@ -22,6 +23,7 @@
   private static final List<Measurement> MEASUREMENTS = List.of(new CapacityMeasurement());
   private static final List<Command> COMMANDS =
       List.of(
+          new DaemonCommand<>("entry", "serve callers", SettingsReader::entry, EntryDaemon::start),
           new DaemonCommand<>(
               "control",
               "run a control replica",
