--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/operate/Submitter.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/operate/Submitter.java
@@ -1,6 +1,7 @@
 package org.waxwingbeam.daemon.operate;
 
 import java.io.PrintStream;
+import java.time.Instant;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
@@ -48,7 +49,7 @@
     }
     long basedOn = options.basedOn().orElse(answered.message().getNumber());
     String id = options.changeId().orElseGet(() -> UUID.randomUUID().toString());
-    out.printf("change-id %s, based on %d%n", id, basedOn);
+    out.printf("change-id %s, based on %d, sent at %s%n", id, basedOn, now());
     out.flush();
     ChangeRequest request =
         ChangeRequest.newBuilder()
@@ -172,6 +173,10 @@
         : Optional.empty();
   }
 
+  private static Instant now() {
+    return Instant.ofEpochMilli(System.currentTimeMillis());
+  }
+
   private static long elapsedMs(long startNanos) {
     return (System.nanoTime() - startNanos) / NANOS_PER_MS;
   }
