Version moves: exact shares, evidence, sequential judge and pace; measure versions

Adds the entry side (counted shares, pin by account, evidence as mergeable totals, a local stop) and the leader side (sequential tests of new against old, pace to the deadline, soak, late roll-back), and plays whole moves on a manual clock.

--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/EvidenceRecorder.java
@@ -0,0 +1,184 @@
+package org.waxwingbeam.target.version;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.function.Supplier;
+import org.waxwingbeam.model.Configuration;
+import org.waxwingbeam.model.InstanceName;
+import org.waxwingbeam.model.ServiceName;
+import org.waxwingbeam.model.VersionMove;
+import org.waxwingbeam.model.VersionMove.State;
+import org.waxwingbeam.target.version.Observation.Verdict;
+
+/**
+ * Counts at one entry instance how the requests of version moves end, and stops a new version at
+ * once when it plainly fails.
+ *
+ * <p>Any thread may call it. The counts of each service have a lock of their own, within which no
+ * other lock is taken.
+ *
+ * <pre>{@code
+ * recorder.record(now, observation);
+ * recorder.drain(now).forEach(leader::send);
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+public final class EvidenceRecorder {
+  /** Longest time between a change of the counts and its report, in nanoseconds. */
+  public static final long REPORT_INTERVAL_NANOS = 250_000_000;
+
+  /** Longest time between two reports on an unfinished move, in nanoseconds. */
+  public static final long HEARTBEAT_NANOS = 1_000_000_000;
+
+  private static final String LOCAL_STOP_REASON = "the new version failed at one entry instance";
+
+  private final InstanceName entry;
+  private final Supplier<Configuration> configuration;
+  private final MoveSelector selector;
+  private final ConcurrentMap<ServiceName, MoveEvidence> evidence = new ConcurrentHashMap<>();
+
+  /**
+   * Creates a recorder.
+   *
+   * @param entry this entry instance
+   * @param configuration gives the configuration that this entry instance applies
+   * @param selector stops a version that plainly fails
+   */
+  public EvidenceRecorder(
+      InstanceName entry, Supplier<Configuration> configuration, MoveSelector selector) {
+    this.entry = entry;
+    this.configuration = configuration;
+    this.selector = selector;
+  }
+
+  /** Counts the end of one attempt. Does nothing for a service that has no unfinished move. */
+  public void record(long nowNanos, Observation observation) {
+    VersionMove move = configuration.get().moves().get(observation.service());
+    if (move == null || !isUnfinished(move) || observation.verdict() == Verdict.NONE) {
+      return;
+    }
+    if (evidenceFor(move).record(nowNanos, observation)) {
+      selector.stop(move, LOCAL_STOP_REASON);
+    }
+  }
+
+  /**
+   * Returns the reports that are due: those with changed counts whose last report is {@link
+   * #REPORT_INTERVAL_NANOS} old, those without whose last report is {@link #HEARTBEAT_NANOS} old,
+   * and at once those with a new failure of a new version.
+   */
+  public List<EvidenceReport> drain(long nowNanos) {
+    return configuration.get().moves().values().stream()
+        .filter(EvidenceRecorder::isUnfinished)
+        .map(this::evidenceFor)
+        .map(each -> each.drain(nowNanos))
+        .flatMap(Optional::stream)
+        .toList();
+  }
+
+  /** Makes the next reports whole, for a leader that has not seen the earlier ones. */
+  public void resync() {
+    evidence.values().forEach(MoveEvidence::resync);
+  }
+
+  private MoveEvidence evidenceFor(VersionMove move) {
+    return evidence.compute(
+        move.service(),
+        (service, old) ->
+            old != null && old.move.startMs() == move.startMs() ? old : new MoveEvidence(move));
+  }
+
+  private static boolean isUnfinished(VersionMove move) {
+    return move.state() == State.RUNNING || move.state() == State.SOAKING;
+  }
+
+  /** The counts of one move; guarded by its own lock. */
+  private final class MoveEvidence {
+    private final VersionMove move;
+    private final LocalStop localStop = new LocalStop();
+    private final Map<EvidenceKey, Counter> counters = new HashMap<>();
+    private boolean changed;
+    private boolean urgent;
+    private long reportedNanos;
+
+    MoveEvidence(VersionMove move) {
+      this.move = move;
+    }
+
+    synchronized boolean record(long nowNanos, Observation observation) {
+      boolean fresh = observation.version().equals(move.to());
+      if (!fresh && !observation.version().equals(move.from())) {
+        return false;
+      }
+      boolean failed = observation.verdict() == Verdict.FAILURE;
+      EvidenceKey key = key(observation, fresh);
+      Counter counter = counters.computeIfAbsent(key, absent -> new Counter());
+      counter.add(failed, observation.headLatencyNanos());
+      changed = true;
+      urgent |= fresh && failed;
+      if (fresh) {
+        return localStop.newAnswered(nowNanos, key.cell(), failed);
+      }
+      localStop.oldAnswered(failed);
+      return false;
+    }
+
+    synchronized Optional<EvidenceReport> drain(long nowNanos) {
+      long interval = changed ? REPORT_INTERVAL_NANOS : HEARTBEAT_NANOS;
+      if (!urgent && nowNanos - reportedNanos < interval) {
+        return Optional.empty();
+      }
+      Map<EvidenceKey, EvidenceCounts> counts = new HashMap<>();
+      counters.forEach((key, counter) -> counter.drainTo(key, counts));
+      changed = false;
+      urgent = false;
+      reportedNanos = nowNanos;
+      String stopped = selector.stopReason(move).orElse("");
+      return Optional.of(
+          new EvidenceReport(entry, move.service(), move.startMs(), counts, stopped));
+    }
+
+    synchronized void resync() {
+      changed = true;
+      urgent = true;
+      counters.values().forEach(counter -> counter.changed = true);
+    }
+
+    private EvidenceKey key(Observation observation, boolean fresh) {
+      LoadLevel level = observation.report().map(LoadLevel::of).orElse(LoadLevel.FULL);
+      int cell =
+          fresh ? Math.floorMod(observation.target().toString().hashCode(), EvidenceKey.CELLS) : 0;
+      return new EvidenceKey(observation.route(), fresh, level, cell);
+    }
+  }
+
+  /** Counts for one key. */
+  private static final class Counter {
+    private final LatencyCounts latencies = new LatencyCounts();
+    private long ran;
+    private long failed;
+    private boolean changed;
+
+    void add(boolean failure, long latencyNanos) {
+      ran++;
+      changed = true;
+      if (failure) {
+        failed++;
+      } else {
+        latencies.record(latencyNanos);
+      }
+    }
+
+    void drainTo(EvidenceKey key, Map<EvidenceKey, EvidenceCounts> counts) {
+      if (changed) {
+        counts.put(key, new EvidenceCounts(ran, failed, latencies.copy()));
+        changed = false;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/LocalStop.java
@@ -0,0 +1,54 @@
+package org.waxwingbeam.target.version;
+
+/**
+ * Decides at one entry instance, after each answer, whether a new version fails so much more than
+ * the old one that nobody needs to be asked. Not safe for use by several threads.
+ *
+ * <p>It sums up log-likelihood ratios of "fails nine in ten" against "fails like the old version",
+ * starting over whenever the sum would fall below 0. The threshold corresponds to less than one
+ * false stop in a billion starts of independent requests. The failures of one group of targets
+ * within a short time count twice at most, because one crash may have caused all of them.
+ */
+final class LocalStop {
+  private static final double LOG_THRESHOLD = Math.log(1e9);
+  private static final double BAD_RATE = 0.9;
+  private static final double LEAST_OLD_RATE = 0.02;
+  private static final double OLD_RATE_TOLERANCE = 3;
+  private static final double PRIOR_REQUESTS = 20;
+  private static final double PRIOR_FAILURES = 1;
+  private static final double OLD_DECAY = 0.995;
+  private static final long BURST_NANOS = 250_000_000;
+  private static final int MAX_FAILURES_IN_BURST = 2;
+
+  private final long[] burstStart = new long[EvidenceKey.CELLS];
+  private final int[] burstFailures = new int[EvidenceKey.CELLS];
+  private double oldRan;
+  private double oldFailed;
+  private double sum;
+
+  void oldAnswered(boolean failed) {
+    oldRan = oldRan * OLD_DECAY + 1;
+    oldFailed = oldFailed * OLD_DECAY + (failed ? 1 : 0);
+  }
+
+  /** Counts an answer of the new version and returns whether the version is to be stopped. */
+  boolean newAnswered(long nowNanos, int cell, boolean failed) {
+    if (failed && !counts(nowNanos, cell)) {
+      return false;
+    }
+    double oldRate = (oldFailed + PRIOR_FAILURES) / (oldRan + PRIOR_REQUESTS);
+    double rate = Math.min(BAD_RATE, Math.max(LEAST_OLD_RATE, OLD_RATE_TOLERANCE * oldRate));
+    double ratio = failed ? BAD_RATE / rate : (1 - BAD_RATE) / (1 - rate);
+    sum = Math.max(0, sum + Math.log(ratio));
+    return sum >= LOG_THRESHOLD;
+  }
+
+  private boolean counts(long nowNanos, int cell) {
+    if (burstFailures[cell] == 0 || nowNanos - burstStart[cell] > BURST_NANOS) {
+      burstStart[cell] = nowNanos;
+      burstFailures[cell] = 0;
+    }
+    burstFailures[cell]++;
+    return burstFailures[cell] <= MAX_FAILURES_IN_BURST;
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/MovePace.java
@@ -0,0 +1,79 @@
+package org.waxwingbeam.target.version;
+
+import org.waxwingbeam.model.VersionMove;
+
+/**
+ * Says when the share of a new version may rise, so that a good version carries all traffic by the
+ * deadline and an unproven one stays small for as long as that allows.
+ *
+ * @since 0.1.0
+ */
+public final class MovePace {
+  private static final int[] RAMP_PER_MILLE = {100, 250, 500, 1_000};
+  private static final double TRIAL_PART = 0.7;
+  private static final double STEP_PART = 0.05;
+  private static final int FIRST_SHARE_DIVISOR = 5;
+  private static final double FIRST_SHARE_PART = 0.05;
+  private static final long LATEST_FINISH_MARGIN_MS = 1_000;
+
+  private final VersionMove move;
+  private final int unprovenPerMille;
+
+  /**
+   * Creates a pace.
+   *
+   * @param move the move
+   * @param unprovenPerMille greatest share while the version is unproven, per mille
+   */
+  public MovePace(VersionMove move, int unprovenPerMille) {
+    this.move = move;
+    this.unprovenPerMille = unprovenPerMille;
+  }
+
+  /** Returns the share while the version is unproven, per mille. */
+  public int trialShare(long nowMs) {
+    boolean early = nowMs - move.startMs() < FIRST_SHARE_PART * durationMs();
+    return early ? Math.max(1, unprovenPerMille / FIRST_SHARE_DIVISOR) : unprovenPerMille;
+  }
+
+  /** Returns when the share may first rise above the unproven one, in ms since the epoch. */
+  public long rampStartMs() {
+    return move.startMs() + (long) (TRIAL_PART * durationMs());
+  }
+
+  /**
+   * Returns the share that a proven version may have.
+   *
+   * @param nowMs the time, in milliseconds since the epoch
+   * @param share the present share, per mille
+   * @param sinceMs when the present share was set, in milliseconds since the epoch
+   */
+  public int provenShare(long nowMs, int share, long sinceMs) {
+    int next = nextStep(share);
+    long dwellMs = Math.min((long) (STEP_PART * durationMs()), dwellLeftMs(nowMs, share));
+    boolean due = nowMs >= rampStartMs() && nowMs - sinceMs >= dwellMs;
+    return due ? next : share;
+  }
+
+  private long dwellLeftMs(long nowMs, int share) {
+    long stepsLeft = 0;
+    for (int step : RAMP_PER_MILLE) {
+      stepsLeft += step > share ? 1 : 0;
+    }
+    long leftMs = Math.max(0, move.deadlineMs() - LATEST_FINISH_MARGIN_MS - nowMs);
+    return leftMs / Math.max(1, stepsLeft);
+  }
+
+  private static int nextStep(int share) {
+    for (int step : RAMP_PER_MILLE) {
+      if (step > share) {
+        return step;
+      }
+    }
+    return share;
+  }
+
+  private long durationMs() {
+    return move.deadlineMs() - move.startMs();
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/MoveSelector.java
@@ -0,0 +1,193 @@
+package org.waxwingbeam.target.version;
+
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.waxwingbeam.model.AccountName;
+import org.waxwingbeam.model.Configuration;
+import org.waxwingbeam.model.RouteName;
+import org.waxwingbeam.model.ServiceName;
+import org.waxwingbeam.model.VersionMove;
+import org.waxwingbeam.model.VersionMove.State;
+import org.waxwingbeam.model.VersionName;
+
+/**
+ * Selects versions at one entry instance as the configured version moves demand.
+ *
+ * <p>Any thread may call it. The share of each service is counted under a lock of its own, which is
+ * held for one count and within which no other lock is taken.
+ *
+ * <p>An entry instance that has not heard from the control replicas for {@link #MAX_SILENCE_MS}
+ * sends nothing new to an unproven version, because it would not learn that the version was rolled
+ * back.
+ *
+ * @since 0.1.0
+ */
+public final class MoveSelector implements VersionSelector {
+  /** Silence of the control replicas after which an unproven version gets nothing, in ms. */
+  public static final long MAX_SILENCE_MS = 2_000;
+
+  private static final int WHOLE_PER_MILLE = 1_000;
+
+  private final Supplier<Configuration> configuration;
+  private final double phase;
+  private final ConcurrentMap<ServiceName, MoveShare> shares = new ConcurrentHashMap<>();
+  private final ConcurrentMap<ServiceName, StoppedMove> stopped = new ConcurrentHashMap<>();
+  private final ConcurrentMap<ServiceName, NumberedTerms> terms = new ConcurrentHashMap<>();
+  private volatile long heardNanos;
+
+  private record StoppedMove(long startMs, String reason) {}
+
+  private record NumberedTerms(long number, MoveTerms terms) {}
+
+  /** Counts one move's share; guarded by its own lock. */
+  private static final class MoveShare {
+    private final long startMs;
+    private final ShareCounter counter;
+
+    MoveShare(long startMs, ShareCounter counter) {
+      this.startMs = startMs;
+      this.counter = counter;
+    }
+
+    synchronized boolean next(RouteName route, int sharePerMille, boolean unproven) {
+      return counter.next(route, sharePerMille, unproven);
+    }
+  }
+
+  /**
+   * Creates a selector.
+   *
+   * @param configuration gives the configuration that this entry instance applies
+   * @param entryIndex this entry instance's place among the entry instances, from 0
+   * @param entries number of entry instances, at least 1
+   * @param nowNanos the entry's monotonic clock
+   */
+  public MoveSelector(
+      Supplier<Configuration> configuration, int entryIndex, int entries, long nowNanos) {
+    this.configuration = configuration;
+    this.phase = (entryIndex % entries + 0.5) / entries;
+    this.heardNanos = nowNanos;
+  }
+
+  /** Notes that the leader of the control replicas has renewed this entry instance's lease. */
+  public void heardFromControl(long nowNanos) {
+    heardNanos = nowNanos;
+  }
+
+  /**
+   * Stops sending requests to the new version of a move, until another move starts.
+   *
+   * @param move the move
+   * @param reason what was seen
+   * @return whether it was not stopped before
+   */
+  public boolean stop(VersionMove move, String reason) {
+    StoppedMove before = stopped.get(move.service());
+    if (before != null && before.startMs() >= move.startMs()) {
+      return false;
+    }
+    stopped.put(move.service(), new StoppedMove(move.startMs(), reason));
+    return true;
+  }
+
+  /** Returns why the new version of a move was stopped here, or empty. */
+  public Optional<String> stopReason(VersionMove move) {
+    return Optional.ofNullable(stopped.get(move.service()))
+        .filter(each -> each.startMs() == move.startMs())
+        .map(StoppedMove::reason);
+  }
+
+  @Override
+  public Optional<VersionName> select(
+      long nowNanos,
+      ServiceName service,
+      AccountName account,
+      RouteName route,
+      boolean idempotent) {
+    Configuration current = configuration.get();
+    VersionMove move = current.moves().get(service);
+    if (move == null) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        isOpen(nowNanos, move) && takesNew(current, move, account, route)
+            ? move.to()
+            : move.from());
+  }
+
+  @Override
+  public Optional<VersionName> selectRetry(long nowNanos, ServiceName service) {
+    VersionMove move = configuration.get().moves().get(service);
+    if (move == null) {
+      return Optional.empty();
+    }
+    boolean proven = move.state() == State.SOAKING || move.state() == State.FINISHED;
+    return Optional.of(proven && isOpen(nowNanos, move) ? move.to() : move.from());
+  }
+
+  @Override
+  public boolean accepts(long nowNanos, ServiceName service, VersionName version) {
+    VersionMove move = configuration.get().moves().get(service);
+    if (move == null) {
+      return true;
+    }
+    if (version.equals(move.to())) {
+      return isOpen(nowNanos, move);
+    }
+    return move.state() != State.FINISHED;
+  }
+
+  private boolean isOpen(long nowNanos, VersionMove move) {
+    boolean heard = nowNanos - heardNanos <= TimeUnit.MILLISECONDS.toNanos(MAX_SILENCE_MS);
+    return switch (move.state()) {
+      case RUNNING -> heard && stopReason(move).isEmpty();
+      case SOAKING -> stopReason(move).isEmpty();
+      case FINISHED -> true;
+      case ROLLED_BACK -> false;
+    };
+  }
+
+  private boolean takesNew(
+      Configuration current, VersionMove move, AccountName account, RouteName route) {
+    if (move.sharePerMille() >= WHOLE_PER_MILLE) {
+      return true;
+    }
+    MoveTerms terms = terms(current, move.service());
+    if (terms.pinsAccounts()) {
+      int place = Math.floorMod(mix(account, move), WHOLE_PER_MILLE);
+      return place < move.sharePerMille();
+    }
+    boolean unproven = move.sharePerMille() <= terms.unprovenPerMille();
+    return share(move).next(route, move.sharePerMille(), unproven);
+  }
+
+  private MoveTerms terms(Configuration current, ServiceName service) {
+    NumberedTerms known = terms.get(service);
+    if (known == null || known.number() != current.number()) {
+      known = new NumberedTerms(current.number(), MoveTerms.of(current, service));
+      terms.put(service, known);
+    }
+    return known.terms();
+  }
+
+  private MoveShare share(VersionMove move) {
+    return shares.compute(
+        move.service(),
+        (service, old) ->
+            old != null && old.startMs == move.startMs()
+                ? old
+                : new MoveShare(move.startMs(), new ShareCounter(phase)));
+  }
+
+  private static int mix(AccountName account, VersionMove move) {
+    int hash = account.value().hashCode() * 31 + move.to().value().hashCode();
+    hash ^= hash >>> 16;
+    hash *= 0x85ebca6b;
+    hash ^= hash >>> 13;
+    hash *= 0xc2b2ae35;
+    return hash ^ (hash >>> 16);
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/MoveSupervisor.java
@@ -0,0 +1,190 @@
+package org.waxwingbeam.target.version;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.waxwingbeam.model.InstanceName;
+import org.waxwingbeam.model.RouteName;
+import org.waxwingbeam.model.VersionMove;
+import org.waxwingbeam.model.VersionMove.State;
+import org.waxwingbeam.target.version.VersionJudge.RouteEvidence;
+
+/**
+ * Leads one version move at the leader of the control replicas: raises the share on evidence, soaks
+ * and finishes, or rolls back. Its decisions become changes of the configuration; a new leader
+ * starts a new supervisor from the accepted move and the entry instances' totals. Not safe for use
+ * by several threads.
+ *
+ * <pre>{@code
+ * supervisor.observe(nowMs, report);
+ * switch (supervisor.tick(nowMs, acceptedMove, liveEntries)) {
+ *   case MoveDecision.Hold hold -> {}
+ *   case MoveDecision.Advance advance -> propose(advance);
+ *   case MoveDecision.RollBack rollBack -> propose(rollBack);
+ * }
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+public final class MoveSupervisor {
+  /** Requests of a route that the new version must have answered before its share may rise. */
+  public static final long ROUTE_EVIDENCE_FLOOR = 30;
+
+  private static final long MAX_REPORT_AGE_MS = 3_000;
+  private static final int WHOLE_PER_MILLE = 1_000;
+
+  private final VersionMove started;
+  private final MoveTerms terms;
+  private final MovePace pace;
+  private final VersionJudge judge;
+  private final Map<InstanceName, Long> heardMs = new HashMap<>();
+  private Optional<String> fault = Optional.empty();
+  private int share = -1;
+  private State state = State.RUNNING;
+  private long shareSinceMs;
+
+  /**
+   * Creates a supervisor.
+   *
+   * @param move the accepted move
+   * @param terms what the service's template says about moves
+   * @param nowMs the time, in milliseconds since the epoch
+   */
+  public MoveSupervisor(VersionMove move, MoveTerms terms, long nowMs) {
+    this.started = move;
+    this.terms = terms;
+    this.pace = new MovePace(move, terms.unprovenPerMille());
+    this.judge = new VersionJudge(move, terms.soakMs());
+    this.shareSinceMs = nowMs;
+  }
+
+  /** Takes the totals of one entry instance. */
+  public void observe(long nowMs, EvidenceReport report) {
+    if (report.moveStartMs() != started.startMs()) {
+      return;
+    }
+    heardMs.put(report.entry(), nowMs);
+    judge.observe(report);
+    if (!report.stopped().isEmpty() && fault.isEmpty()) {
+      fault = Optional.of(report.stopped() + ": " + report.entry());
+    }
+  }
+
+  /**
+   * Decides what to do now; to be called every {@link VersionJudge#TICK_MS}.
+   *
+   * @param nowMs the time, in milliseconds since the epoch
+   * @param move the move as accepted
+   * @param liveEntries number of live entry instances
+   */
+  public MoveDecision tick(long nowMs, VersionMove move, int liveEntries) {
+    if (move.sharePerMille() != share || move.state() != state) {
+      share = move.sharePerMille();
+      state = move.state();
+      shareSinceMs = nowMs;
+    }
+    Optional<String> seen = judge.tick(share < WHOLE_PER_MILLE);
+    fault = fault.or(() -> seen);
+    return switch (move.state()) {
+      case RUNNING -> run(nowMs, liveEntries);
+      case SOAKING -> soak(nowMs);
+      case FINISHED, ROLLED_BACK -> new MoveDecision.Hold();
+    };
+  }
+
+  /** Returns what has been served of each route. */
+  public Map<RouteName, RouteEvidence> evidence() {
+    return judge.routes();
+  }
+
+  /**
+   * Returns what will keep the move from finishing by its deadline, as far as can be foreseen.
+   *
+   * @param nowMs the time, in milliseconds since the epoch
+   */
+  public Optional<String> risk(long nowMs) {
+    long elapsedMs = Math.max(1, nowMs - started.startMs());
+    double growth = Math.max(1, (double) (pace.rampStartMs() - started.startMs()) / elapsedMs);
+    return unprovenRoute()
+        .filter(route -> freshOf(route) * growth < ROUTE_EVIDENCE_FLOOR)
+        .map(
+            route ->
+                "route %s: %d of %d requests seen, about %d expected before the share must rise"
+                    .formatted(
+                        route,
+                        freshOf(route),
+                        ROUTE_EVIDENCE_FLOOR,
+                        (long) (freshOf(route) * growth)));
+  }
+
+  private MoveDecision run(long nowMs, int liveEntries) {
+    if (fault.isPresent()) {
+      return new MoveDecision.RollBack("the new version " + fault.get());
+    }
+    if (nowMs >= started.deadlineMs()) {
+      return new MoveDecision.RollBack(deadlineReason(nowMs, liveEntries));
+    }
+    if (!isHeard(nowMs, liveEntries) && share > 0) {
+      return new MoveDecision.Hold();
+    }
+    int next =
+        unprovenRoute().isPresent() || share < terms.unprovenPerMille()
+            ? Math.max(share, pace.trialShare(nowMs))
+            : pace.provenShare(nowMs, share, shareSinceMs);
+    if (next == share) {
+      return new MoveDecision.Hold();
+    }
+    return new MoveDecision.Advance(next, next == WHOLE_PER_MILLE ? State.SOAKING : State.RUNNING);
+  }
+
+  private MoveDecision soak(long nowMs) {
+    if (fault.isPresent()) {
+      return new MoveDecision.RollBack("the new version " + fault.get());
+    }
+    return nowMs - shareSinceMs >= terms.soakMs()
+        ? new MoveDecision.Advance(WHOLE_PER_MILLE, State.FINISHED)
+        : new MoveDecision.Hold();
+  }
+
+  private String deadlineReason(long nowMs, int liveEntries) {
+    String cause =
+        unprovenRoute()
+            .map(
+                route ->
+                    "route %s has %d of %d requests"
+                        .formatted(route, freshOf(route), ROUTE_EVIDENCE_FLOOR))
+            .orElse(
+                isHeard(nowMs, liveEntries)
+                    ? "the share is %d per mille".formatted(share)
+                    : "too few entry instances report");
+    return "the deadline has come: " + cause;
+  }
+
+  /** Returns the route with the least evidence if that is too little. */
+  private Optional<RouteName> unprovenRoute() {
+    Map<RouteName, RouteEvidence> routes = judge.routes();
+    if (routes.isEmpty()) {
+      return Optional.of(new RouteName("any"));
+    }
+    List<RouteName> lacking =
+        routes.entrySet().stream()
+            .filter(entry -> entry.getValue().fresh() < ROUTE_EVIDENCE_FLOOR)
+            .min(Comparator.comparingLong(entry -> entry.getValue().fresh()))
+            .map(entry -> List.of(entry.getKey()))
+            .orElse(List.of());
+    return lacking.stream().findFirst();
+  }
+
+  private long freshOf(RouteName route) {
+    RouteEvidence seen = judge.routes().get(route);
+    return seen == null ? 0 : seen.fresh();
+  }
+
+  private boolean isHeard(long nowMs, int liveEntries) {
+    long heard =
+        heardMs.values().stream().filter(each -> nowMs - each <= MAX_REPORT_AGE_MS).count();
+    return 2 * heard > liveEntries;
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/ShareCounter.java
@@ -0,0 +1,78 @@
+package org.waxwingbeam.target.version;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.waxwingbeam.model.RouteName;
+
+/**
+ * Assigns an exact share of one service's requests at one entry instance to the new version, by
+ * counting. Not safe for use by several threads.
+ *
+ * <p>Every request adds the share to a credit, and a request for the new version costs one. The
+ * credits of different entry instances start apart, so that few requests at each still add up to
+ * the share. While the version is unproven, rare routes receive a greater part, at the expense of
+ * the common ones, so that they are judged as soon; the share of all requests stays the same.
+ */
+final class ShareCounter {
+  private static final double PER_MILLE = 1_000;
+  private static final double RARE_ROUTE_PART = 0.05;
+  private static final double RARE_ROUTE_FACTOR = 8;
+  private static final double RARE_ROUTE_MAX_SHARE = 0.4;
+  private static final int REQUESTS_BEFORE_RARE = 50;
+  private static final double MAX_CREDIT = 2;
+  private static final double LEAST_CREDIT_FOR_RARE = -1;
+
+  private final double phase;
+  private final Map<RouteName, RouteCredit> routes = new HashMap<>();
+  private double credit;
+  private long requests;
+
+  private static final class RouteCredit {
+    private double credit;
+    private long requests;
+
+    RouteCredit(double credit) {
+      this.credit = credit;
+    }
+  }
+
+  /**
+   * Creates a counter.
+   *
+   * @param phase where this entry instance's credit starts, 0 to 1; spread evenly over the entry
+   *     instances
+   */
+  ShareCounter(double phase) {
+    this.phase = phase;
+    this.credit = phase - 1;
+  }
+
+  /** Counts a request and returns whether it goes to the new version. */
+  boolean next(RouteName route, int sharePerMille, boolean unproven) {
+    double share = sharePerMille / PER_MILLE;
+    requests++;
+    credit = Math.min(credit + share, MAX_CREDIT);
+    RouteCredit own = routes.computeIfAbsent(route, this::newCredit);
+    own.requests++;
+    boolean rare = unproven && isRare(own);
+    double routeShare =
+        rare ? Math.max(share, Math.min(share * RARE_ROUTE_FACTOR, RARE_ROUTE_MAX_SHARE)) : share;
+    own.credit = Math.min(own.credit + routeShare, MAX_CREDIT);
+    boolean allowed = credit >= (rare ? LEAST_CREDIT_FOR_RARE : 0) || share >= 1;
+    if (!allowed || own.credit < 1) {
+      return false;
+    }
+    own.credit--;
+    credit--;
+    return true;
+  }
+
+  private boolean isRare(RouteCredit route) {
+    return requests >= REQUESTS_BEFORE_RARE && route.requests < RARE_ROUTE_PART * requests;
+  }
+
+  private RouteCredit newCredit(RouteName route) {
+    double offset = Math.floorMod(route.value().hashCode(), (int) PER_MILLE) / PER_MILLE;
+    return new RouteCredit((phase + offset) % 1);
+  }
+}
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -8,11 +8,13 @@
 import org.waxwingbeam.tools.measure.MeasureCommand;
 import org.waxwingbeam.tools.measure.Measurement;
 import org.waxwingbeam.tools.measure.capacity.CapacityMeasurement;
+import org.waxwingbeam.tools.measure.versions.VersionsMeasurement;
 import org.waxwingbeam.tools.standin.TargetCommand;
 
 /** Starts the program with every command: the shipped daemons' and the tools'. */
 public final class Main {
-  private static final List<Measurement> MEASUREMENTS = List.of(new CapacityMeasurement());
+  private static final List<Measurement> MEASUREMENTS =
+      List.of(new VersionsMeasurement(), new CapacityMeasurement());
 
   private Main() {}
 
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/versions/Defect.java
@@ -0,0 +1,55 @@
+package org.waxwingbeam.tools.measure.versions;
+
+import java.util.SplittableRandom;
+
+/**
+ * Says what is wrong with a new version.
+ *
+ * @param failRate part of the affected requests that fail at once
+ * @param slowFactor factor on the service time of affected requests
+ * @param crashRate part of the affected requests that crash their target
+ * @param startMs when it begins, in milliseconds since the move's start
+ * @param minInFlight requests at once at the target from which it shows
+ * @param onlyRoute index of the route that is affected, or -1 for all
+ */
+record Defect(
+    double failRate,
+    double slowFactor,
+    double crashRate,
+    long startMs,
+    int minInFlight,
+    int onlyRoute) {
+  static final Defect NONE = new Defect(0, 1, 0, Long.MAX_VALUE, 0, -1);
+
+  private static final int ALL = -1;
+
+  static Defect of(MoveKind kind, SplittableRandom random, long lastStartMs, int rareRoute) {
+    long late = random.nextLong(lastStartMs / 10, lastStartMs);
+    double failRate = random.nextDouble(0.3, 1);
+    double factor = random.nextDouble(3, 8);
+    return switch (kind) {
+      case GOOD,
+          GOOD_COLD,
+          GOOD_NOISY,
+          GOOD_DATA_CENTRE_LEAVES,
+          GOOD_LEADER_KILLED,
+          GOOD_ENTRIES_CUT_OFF ->
+          NONE;
+      case FAILS_AT_ONCE, TWO_SERVICES -> new Defect(failRate, 1, 0, 0, 0, ALL);
+      case FAILS_LATE, BAD_ENTRIES_CUT_OFF, BAD_LEADER_KILLED ->
+          new Defect(failRate, 1, 0, late, 0, ALL);
+      case SLOW_AT_ONCE -> new Defect(0, factor, 0, 0, 0, ALL);
+      case SLOW_LATE -> new Defect(0, factor, 0, late, 0, ALL);
+      case BAD_ABOVE_LOAD ->
+          random.nextBoolean()
+              ? new Defect(failRate, 1, 0, 0, ModelTarget.SLOTS, ALL)
+              : new Defect(0, factor, 0, 0, ModelTarget.SLOTS, ALL);
+      case BAD_ON_ONE_ROUTE -> new Defect(1, 1, 0, 0, 0, rareRoute);
+      case CRASHES -> new Defect(0, 1, random.nextDouble(0.02, 0.2), 0, 0, ALL);
+    };
+  }
+
+  boolean affects(long nowMs, int route, int inFlight) {
+    return nowMs >= startMs && inFlight >= minInFlight && (onlyRoute == ALL || onlyRoute == route);
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/versions/FalseAlarms.java
@@ -0,0 +1,139 @@
+package org.waxwingbeam.tools.measure.versions;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
+import java.util.stream.LongStream;
+import org.waxwingbeam.model.InstanceName;
+import org.waxwingbeam.model.RouteName;
+import org.waxwingbeam.model.ServiceName;
+import org.waxwingbeam.model.VersionMove;
+import org.waxwingbeam.target.version.EvidenceCounts;
+import org.waxwingbeam.target.version.EvidenceKey;
+import org.waxwingbeam.target.version.EvidenceReport;
+import org.waxwingbeam.target.version.LatencyCounts;
+import org.waxwingbeam.target.version.LoadLevel;
+import org.waxwingbeam.target.version.VersionJudge;
+import org.waxwingbeam.tools.measure.MeasurementOptions;
+import org.waxwingbeam.tools.measure.MeasurementReport.Bound;
+import org.waxwingbeam.tools.measure.MeasurementReport.Limit;
+import org.waxwingbeam.tools.measure.MeasurementReport.Table;
+
+/**
+ * Counts how often the sequential test raises an alarm on a version that answers exactly as the old
+ * one does.
+ *
+ * @param moves how many whole moves were judged
+ * @param alarms how many of them raised an alarm
+ */
+record FalseAlarms(long moves, long alarms) {
+  private static final int MOVES = 20_000;
+  private static final int MOVES_BRIEF = 2_000;
+  private static final int TICKS = 240;
+  private static final int OLD_PER_TICK = 120;
+  private static final int NEW_PER_TICK = 12;
+  private static final double FAILURE_RATE = 0.01;
+  private static final double MEAN_MS = 20;
+  private static final double NANOS_PER_MS = 1e6;
+  private static final List<RouteName> ROUTES =
+      List.of(new RouteName("list"), new RouteName("price"));
+
+  static FalseAlarms count(MeasurementOptions options) {
+    int moves = options.brief() ? MOVES_BRIEF : MOVES;
+    long seed = options.firstSeed() * 1_000_003 + options.lastSeed();
+    long alarms =
+        LongStream.range(0, moves)
+            .parallel()
+            .filter(index -> raisesAlarm(new SplittableRandom(seed * moves + index)))
+            .count();
+    return new FalseAlarms(moves, alarms);
+  }
+
+  Table table() {
+    return new Table(
+        "false alarms of the sequential test, on versions without any difference",
+        List.of("moves", "alarms", "seen rate", "stated rate"),
+        List.of(
+            List.of(
+                "" + moves,
+                "" + alarms,
+                "%.5f".formatted(rate()),
+                "%.5f".formatted(VersionJudge.FALSE_ALARM_RATE))));
+  }
+
+  List<Bound> bounds() {
+    return List.of(
+        new Bound(
+            "false-alarm rate of the sequential test",
+            rate(),
+            Limit.AT_MOST,
+            VersionJudge.FALSE_ALARM_RATE));
+  }
+
+  private double rate() {
+    return (double) alarms / moves;
+  }
+
+  private static boolean raisesAlarm(RandomGenerator random) {
+    VersionMove move =
+        new VersionMove(
+            new ServiceName("service"),
+            ModelService.OLD,
+            ModelService.NEW,
+            0,
+            TICKS * VersionJudge.TICK_MS,
+            50,
+            VersionMove.State.RUNNING,
+            "");
+    VersionJudge judge = new VersionJudge(move, 0);
+    Map<EvidenceKey, Totals> totals = new HashMap<>();
+    for (int tick = 0; tick < TICKS; tick++) {
+      add(totals, false, OLD_PER_TICK, random);
+      add(totals, true, NEW_PER_TICK, random);
+      judge.observe(report(move, totals));
+      if (judge.tick(true).isPresent()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static void add(
+      Map<EvidenceKey, Totals> totals, boolean fresh, int count, RandomGenerator random) {
+    for (int index = 0; index < count; index++) {
+      RouteName route = ROUTES.get(random.nextInt(ROUTES.size()));
+      EvidenceKey key =
+          new EvidenceKey(route, fresh, LoadLevel.BUSY, fresh ? random.nextInt(2) : 0);
+      totals.computeIfAbsent(key, absent -> new Totals()).add(random);
+    }
+  }
+
+  private static EvidenceReport report(VersionMove move, Map<EvidenceKey, Totals> totals) {
+    Map<EvidenceKey, EvidenceCounts> counts = new HashMap<>();
+    totals.forEach((key, total) -> counts.put(key, total.counts()));
+    return new EvidenceReport(
+        new InstanceName("entry-1"), move.service(), move.startMs(), counts, "");
+  }
+
+  /** Totals of one key. */
+  private static final class Totals {
+    private final LatencyCounts latencies = new LatencyCounts();
+    private long ran;
+    private long failed;
+
+    void add(RandomGenerator random) {
+      ran++;
+      if (random.nextDouble() < FAILURE_RATE) {
+        failed++;
+      } else {
+        latencies.record((long) (random.nextExponential() * MEAN_MS * NANOS_PER_MS));
+      }
+    }
+
+    EvidenceCounts counts() {
+      return new EvidenceCounts(ran, failed, latencies.copy());
+    }
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/versions/ModelEntry.java
@@ -0,0 +1,41 @@
+package org.waxwingbeam.tools.measure.versions;
+
+import org.waxwingbeam.model.Configuration;
+import org.waxwingbeam.model.InstanceName;
+import org.waxwingbeam.target.version.EvidenceRecorder;
+import org.waxwingbeam.target.version.MoveSelector;
+
+/** A model of an entry instance: the real selector and recorder, and its link to the leader. */
+final class ModelEntry {
+  final int index;
+  final int dataCentre;
+  final InstanceName name;
+  final MoveSelector selector;
+  final EvidenceRecorder recorder;
+  private Configuration configuration;
+  double cutOffFromMs = Double.MAX_VALUE;
+  double cutOffUntilMs;
+
+  ModelEntry(int index, int entries, int dataCentres, Configuration configuration) {
+    this.index = index;
+    this.dataCentre = index % dataCentres;
+    this.name = new InstanceName("entry-" + index);
+    this.configuration = configuration;
+    this.selector = new MoveSelector(() -> this.configuration, index, entries, 0);
+    this.recorder = new EvidenceRecorder(name, () -> this.configuration, selector);
+  }
+
+  void apply(Configuration latest) {
+    if (latest.number() > configuration.number()) {
+      configuration = latest;
+    }
+  }
+
+  Configuration configuration() {
+    return configuration;
+  }
+
+  boolean hearsLeader(double nowMs) {
+    return nowMs < cutOffFromMs || nowMs >= cutOffUntilMs;
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/versions/ModelLeader.java
@@ -0,0 +1,188 @@
+package org.waxwingbeam.tools.measure.versions;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.waxwingbeam.model.Configuration;
+import org.waxwingbeam.model.Parameter;
+import org.waxwingbeam.model.Parameters;
+import org.waxwingbeam.model.Template;
+import org.waxwingbeam.model.TemplateName;
+import org.waxwingbeam.model.VersionMove;
+import org.waxwingbeam.operator.Change;
+import org.waxwingbeam.operator.ConfigurationEditor;
+import org.waxwingbeam.operator.EditResult;
+import org.waxwingbeam.target.version.EvidenceReport;
+import org.waxwingbeam.target.version.MoveDecision;
+import org.waxwingbeam.target.version.MoveSupervisor;
+import org.waxwingbeam.target.version.MoveTerms;
+import org.waxwingbeam.target.version.VersionJudge;
+
+/** A model of the control replicas: the real supervisor and editor, links with delays, failover. */
+final class ModelLeader {
+  static final MoveTerms TERMS = new MoveTerms(50, MoveModel.SOAK_MS, false);
+
+  private static final double RENEWAL_MS = 500;
+  private static final double MIN_LINK_MS = 2;
+  private static final double MAX_LINK_MS = 20;
+  private static final double MIN_ACCEPT_MS = 5;
+  private static final double MAX_ACCEPT_MS = 30;
+
+  private final EventQueue events;
+  private final SplittableRandom random;
+  private final List<ModelService> services;
+  private List<ModelEntry> entries = List.of();
+  private Configuration configuration;
+  private double deadUntilMs;
+
+  ModelLeader(EventQueue events, SplittableRandom random, List<ModelService> services) {
+    this.events = events;
+    this.random = random;
+    this.services = services;
+    TreeMap<TemplateName, Template> templates = new TreeMap<>();
+    services.forEach(
+        service -> {
+          TemplateName name = new TemplateName(service.name.value());
+          templates.put(name, template(name, service));
+        });
+    configuration =
+        new Configuration(1, templates, new TreeMap<>(), new TreeSet<>(), new TreeMap<>());
+    services.forEach(
+        service ->
+            change(
+                new Change.MoveVersion(
+                    service.name,
+                    Optional.of(ModelService.OLD),
+                    ModelService.NEW,
+                    MoveModel.DEADLINE_MS)));
+    services.forEach(this::supervise);
+  }
+
+  Configuration configuration() {
+    return configuration;
+  }
+
+  void connect(List<ModelEntry> all) {
+    entries = all;
+  }
+
+  void start() {
+    events.every(VersionJudge.TICK_MS, this::tick);
+    events.every(RENEWAL_MS, this::renew);
+  }
+
+  /** Kills the leader; another one, which knows accepted state only, takes over later. */
+  void kill(double forMs) {
+    deadUntilMs = events.nowMs() + forMs;
+    events.after(
+        forMs,
+        () -> {
+          services.forEach(this::supervise);
+          entries.forEach(entry -> entry.recorder.resync());
+        });
+  }
+
+  /** Sends an entry instance's reports to the leader. */
+  void send(ModelEntry entry, List<EvidenceReport> reports) {
+    if (reports.isEmpty() || !entry.hearsLeader(events.nowMs())) {
+      return;
+    }
+    events.after(linkMs(), () -> reports.forEach(this::receive));
+  }
+
+  private void receive(EvidenceReport report) {
+    if (isAlive()) {
+      services.stream()
+          .filter(service -> service.name.equals(report.service()))
+          .forEach(service -> service.supervisor.observe((long) events.nowMs(), report));
+    }
+  }
+
+  private void tick() {
+    if (isAlive()) {
+      services.forEach(this::decide);
+    }
+  }
+
+  private void decide(ModelService service) {
+    long now = (long) events.nowMs();
+    VersionMove move = configuration.moves().get(service.name);
+    switch (service.supervisor.tick(now, move, entries.size())) {
+      case MoveDecision.Hold hold -> {}
+      case MoveDecision.Advance advance ->
+          propose(
+              service,
+              new Change.AdvanceMove(
+                  service.name, ModelService.NEW, advance.sharePerMille(), advance.state()));
+      case MoveDecision.RollBack back ->
+          propose(service, new Change.RollBackMove(service.name, back.reason()));
+    }
+  }
+
+  private void propose(ModelService service, Change change) {
+    events.after(
+        random.nextDouble(MIN_ACCEPT_MS, MAX_ACCEPT_MS),
+        () -> {
+          if (isAlive()) {
+            change(change);
+            noteWhole(service);
+            renew();
+          }
+        });
+  }
+
+  private void noteWhole(ModelService service) {
+    boolean whole = configuration.moves().get(service.name).state() == VersionMove.State.SOAKING;
+    if (whole && Double.isNaN(service.wholeShareMs)) {
+      service.wholeShareMs = events.nowMs();
+    }
+  }
+
+  private void change(Change change) {
+    EditResult result = ConfigurationEditor.apply(configuration, change, (long) events.nowMs());
+    if (result instanceof EditResult.Accepted accepted) {
+      configuration = accepted.configuration();
+    }
+  }
+
+  private void renew() {
+    if (!isAlive()) {
+      return;
+    }
+    Configuration latest = configuration;
+    for (ModelEntry entry : entries) {
+      if (entry.hearsLeader(events.nowMs())) {
+        events.after(linkMs(), () -> deliver(entry, latest));
+      }
+    }
+  }
+
+  private void deliver(ModelEntry entry, Configuration latest) {
+    entry.apply(latest);
+    entry.selector.heardFromControl((long) (events.nowMs() * 1_000_000));
+  }
+
+  private boolean isAlive() {
+    return events.nowMs() >= deadUntilMs;
+  }
+
+  private double linkMs() {
+    return random.nextDouble(MIN_LINK_MS, MAX_LINK_MS);
+  }
+
+  private void supervise(ModelService service) {
+    VersionMove move = configuration.moves().get(service.name);
+    service.supervisor = new MoveSupervisor(move, TERMS, (long) events.nowMs());
+  }
+
+  private static Template template(TemplateName name, ModelService service) {
+    return new Template(
+        name,
+        service.name,
+        "{account}." + service.name + ".example",
+        List.of(),
+        Parameters.NONE.with(Parameter.SOAK, MoveModel.SOAK_MS));
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/versions/ModelService.java
@@ -0,0 +1,103 @@
+package org.waxwingbeam.tools.measure.versions;
+
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.waxwingbeam.model.RouteName;
+import org.waxwingbeam.model.ServiceName;
+import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.model.VersionMove;
+import org.waxwingbeam.model.VersionName;
+import org.waxwingbeam.target.version.MoveSupervisor;
+import org.waxwingbeam.target.version.TrialTargets;
+
+/** A model of one service: the targets of both versions, and what has happened there. */
+final class ModelService {
+  static final VersionName OLD = new VersionName("v1");
+  static final VersionName NEW = new VersionName("v2");
+  static final List<RouteName> ROUTES =
+      List.of(new RouteName("list"), new RouteName("price"), new RouteName("label"));
+  static final double[] ROUTE_PARTS = {0.7, 0.29, 0.01};
+  static final int RARE_ROUTE = 2;
+  static final int TARGETS = 15;
+
+  final ServiceName name;
+  final Defect defect;
+  final List<ModelTarget> oldTargets;
+  final List<ModelTarget> newTargets;
+  MoveSupervisor supervisor;
+  long requests;
+  long newRequests;
+  long requestsUntilLastNew;
+  double unprovenExcess;
+  long callerErrors;
+  double firstFaultMs = Double.NaN;
+  double lastNewMs = Double.NaN;
+  double wholeShareMs = Double.NaN;
+  private int trialShare = -1;
+  private List<ModelTarget> trialTargets = List.of();
+
+  ModelService(
+      ServiceName name, int number, Defect defect, int dataCentres, SplittableRandom random) {
+    this.name = name;
+    this.defect = defect;
+    this.oldTargets = targets(number, false, dataCentres, random);
+    this.newTargets = targets(number, true, dataCentres, random);
+  }
+
+  private static List<ModelTarget> targets(
+      int number, boolean fresh, int dataCentres, SplittableRandom random) {
+    String host = "10.0.%d.%d".formatted(number, fresh ? 2 : 1);
+    return IntStream.range(0, TARGETS)
+        .mapToObj(
+            index ->
+                new ModelTarget(
+                    new TargetId(host, 9000 + index), index % dataCentres, fresh, random.split()))
+        .toList();
+  }
+
+  /** Returns the targets of a version that take requests under the move as accepted. */
+  List<ModelTarget> targets(boolean fresh, VersionMove move) {
+    if (!fresh) {
+      return oldTargets;
+    }
+    if (move.state() != VersionMove.State.RUNNING) {
+      return newTargets;
+    }
+    if (trialShare != move.sharePerMille()) {
+      trialShare = move.sharePerMille();
+      trialTargets = trialTargets(move);
+    }
+    return trialTargets;
+  }
+
+  /** Takes a data centre's targets out of use. */
+  void takeOut(int dataCentre) {
+    trialShare = -1;
+    Stream.concat(oldTargets.stream(), newTargets.stream())
+        .filter(each -> each.dataCentre == dataCentre)
+        .forEach(each -> each.out = true);
+  }
+
+  private List<ModelTarget> trialTargets(VersionMove move) {
+    List<ModelTarget> usable = newTargets.stream().filter(each -> !each.out).toList();
+    List<TargetId> ids = usable.stream().map(each -> each.id).toList();
+    Set<TargetId> chosen =
+        Set.copyOf(TrialTargets.limit(ids, move.sharePerMille(), move.startMs()));
+    return usable.stream().filter(each -> chosen.contains(each.id)).toList();
+  }
+
+  void sentToNew(double nowMs) {
+    newRequests++;
+    requestsUntilLastNew = requests;
+    lastNewMs = nowMs;
+  }
+
+  void faultShown(double nowMs) {
+    if (Double.isNaN(firstFaultMs)) {
+      firstFaultMs = nowMs;
+    }
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/versions/package-info.java
@@ -0,0 +1,2 @@
+/** Measures version moves on a small model of entries, targets and the leader. */
+package org.waxwingbeam.tools.measure.versions;
