--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
@@ -33,6 +33,7 @@
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.settings.EntrySettings;
 import org.waxwingbeam.target.ChoicePolicy;
+import org.waxwingbeam.target.DispatchSettings;
 import org.waxwingbeam.target.EntryDispatcher;
 import org.waxwingbeam.target.TargetRegistry;
 import org.waxwingbeam.target.net.AnnouncementServer;
@@ -131,7 +132,11 @@
             .orElseThrow(
                 () -> new IllegalArgumentException("policy " + settings.choice().policy()));
     return new EntryDispatcher(
-        registry, applied::current, VersionSelector.ANY, policy, System.nanoTime());
+        new DispatchSettings(settings.instance(), settings.dataCentre(), policy, System.nanoTime()),
+        registry,
+        applied::current,
+        control::leasedView,
+        VersionSelector.ANY);
   }
 
   private ExchangeContext context(DispatchGate gate) {
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -10,17 +10,24 @@
 import org.waxwingbeam.daemon.entry.EntryDaemon;
 import org.waxwingbeam.daemon.operate.OperateCommand;
 import org.waxwingbeam.settings.SettingsReader;
+import org.waxwingbeam.tools.choice.ChoiceMeasurement;
+import org.waxwingbeam.tools.demo.DemoReportCommand;
 import org.waxwingbeam.tools.load.LoadCommand;
 import org.waxwingbeam.tools.measure.MeasureCommand;
 import org.waxwingbeam.tools.measure.Measurement;
 import org.waxwingbeam.tools.measure.capacity.CapacityMeasurement;
 import org.waxwingbeam.tools.measure.requests.RequestMeasurement;
+import org.waxwingbeam.tools.measure.versions.VersionsMeasurement;
 import org.waxwingbeam.tools.standin.TargetCommand;
 
 /** Starts the program with every command: the shipped daemons' and the tools'. */
 public final class Main {
   private static final List<Measurement> MEASUREMENTS =
-      List.of(new CapacityMeasurement(), new RequestMeasurement());
+      List.of(
+          new ChoiceMeasurement(),
+          new RequestMeasurement(),
+          new VersionsMeasurement(),
+          new CapacityMeasurement());
   private static final List<Command> COMMANDS =
       List.of(
           new DaemonCommand<>("entry", "serve callers", SettingsReader::entry, EntryDaemon::start),
@@ -33,6 +40,7 @@
           new TargetCommand(),
           new LoadCommand(),
           new ErrorsCommand(),
+          new DemoReportCommand(),
           new MeasureCommand(MEASUREMENTS));
 
   private Main() {}
