Orderly stop of an entry, and transfers with limits of their own

Purpose: SIGTERM makes an entry unready, closes connections that are not in use, answers new requests 'shutting-down' (not run) and waits for exchanges to end; a second signal hurries and logs each exchange that it cuts. Signals are received directly, because the virtual machine ignores them while shutdown hooks run.

Seen failing first: transferOutlivesItsDeadlineAndTheStopOfItsEntryInstance - an idle kept-alive connection outlived the drain, since no connection was ever registered; uploadMayTakeLongerThanItsDeadline - the deadline that counts from the end of an upload was enforced while it was under way.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/DaemonCommand.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/DaemonCommand.java
@@ -123,25 +123,20 @@
   private ExitCode serve(T settings, LogLevel level, PrintStream err) throws Exception {
     LogOutput.install(err, level);
     CountDownLatch told = new CountDownLatch(1);
-    CountDownLatch closed = new CountDownLatch(1);
     try (AutoCloseable daemon = starter.start(settings)) {
-      Runtime.getRuntime().addShutdownHook(new Thread(() -> endAndWait(told, closed), "shutdown"));
+      StopSignals.install(told::countDown, () -> hurry(daemon));
       LOG.info("started", "daemon", name);
       told.await();
       LOG.info("stopping", "daemon", name);
     } finally {
       LOG.info("stopped", "daemon", name);
-      closed.countDown();
     }
     return ExitCode.OK;
   }
 
-  private static void endAndWait(CountDownLatch told, CountDownLatch closed) {
-    told.countDown();
-    try {
-      closed.await();
-    } catch (InterruptedException interrupted) {
-      Thread.currentThread().interrupt();
+  private static void hurry(AutoCloseable daemon) {
+    if (daemon instanceof StoppableNow stoppable) {
+      stoppable.stopNow();
     }
   }
 
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
@@ -22,6 +22,7 @@
 import org.waxwingbeam.control.AppliedConfiguration;
 import org.waxwingbeam.control.net.ControlClaimClient;
 import org.waxwingbeam.control.net.ControlClient;
+import org.waxwingbeam.daemon.StoppableNow;
 import org.waxwingbeam.daemon.TokenFile;
 import org.waxwingbeam.logging.EventLog;
 import org.waxwingbeam.metrics.EntryMetrics;
@@ -52,11 +53,12 @@
  *
  * @since 0.1.0
  */
-public final class EntryDaemon implements AutoCloseable {
+public final class EntryDaemon implements AutoCloseable, StoppableNow {
   private static final EventLog LOG = new EventLog(EntryDaemon.class);
   private static final long DISPATCH_TICK_MS = 5;
   private static final long EXPIRY_TICK_MS = 100;
   private static final long DRAIN_POLL_MS = 20;
+  private static final long MIN_DRAIN_MS = 500;
 
   private final EntrySettings settings;
   private final EventLoopGroup group;
@@ -65,6 +67,7 @@
   private final List<Future<?>> timers = new ArrayList<>();
   private final PoisonList poison = new PoisonList();
   private final AtomicBoolean stopping = new AtomicBoolean();
+  private final AtomicBoolean hurried = new AtomicBoolean();
   private final ControlClient control;
   private final AnnouncementServer announcements;
   private final PlatformServer platform;
@@ -190,12 +193,17 @@
     return callers.endpoint();
   }
 
-  /** Takes no new request, waits until those under way have ended, and stops. */
+  /**
+   * Takes no new request, waits until those under way have ended, and stops. While it waits it is
+   * unready and tells callers that they were not served.
+   */
   @Override
   public void close() throws InterruptedException {
     stopping.set(true);
     callers.drain();
-    while (callers.exchangesUnderWay() > 0) {
+    long leastNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MIN_DRAIN_MS);
+    while (!hurried.get()
+        && (callers.exchangesUnderWay() > 0 || System.nanoTime() - leastNanos < 0)) {
       Thread.sleep(DRAIN_POLL_MS);
     }
     timers.forEach(timer -> timer.cancel(false));
@@ -206,4 +214,21 @@
     metricsServer.close();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
   }
+
+  @Override
+  public void stopNow() {
+    callers
+        .underWay()
+        .forEach(
+            terms ->
+                LOG.warn(
+                    "exchange-cut",
+                    "service",
+                    terms.service(),
+                    "account",
+                    terms.account(),
+                    "route",
+                    terms.route()));
+    hurried.set(true);
+  }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerServer.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerServer.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.waxwingbeam.caller.RequestTerms;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.settings.EntrySettings;
 
@@ -88,6 +89,11 @@
     List.copyOf(own).forEach(each -> each.onTick(now));
   }
 
+  /** Returns the terms of every request that is being served. */
+  public List<RequestTerms> underWay() {
+    return exchanges.values().stream().flatMap(Set::stream).map(Exchange::terms).toList();
+  }
+
   /** Returns the number of requests that are being served. */
   public int exchangesUnderWay() {
     return exchanges.values().stream().mapToInt(Set::size).sum();
@@ -114,9 +120,10 @@
       RequestDecoder decoder = new RequestDecoder(limits.headerBytes());
       AnswerEncoder encoder = new AnswerEncoder();
       Set<Exchange> own = exchangesOf(channel.eventLoop());
-      channel
-          .pipeline()
-          .addLast(decoder, encoder, new CallerConnection(context, limits, own, decoder, encoder));
+      CallerConnection connection = new CallerConnection(context, limits, own, decoder, encoder);
+      connections.add(connection);
+      channel.closeFuture().addListener(closed -> connections.remove(connection));
+      channel.pipeline().addLast(decoder, encoder, connection);
     }
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -176,6 +176,11 @@
     caller.setRequestReading(!blocked);
   }
 
+  /** Returns how the request is treated. */
+  RequestTerms terms() {
+    return terms;
+  }
+
   /** Returns whether the request has arrived to its end. */
   boolean isRequestWhole() {
     return body.isWhole();
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeLimits.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeLimits.java
@@ -50,8 +50,9 @@
     return headDeadlineNanos;
   }
 
+  /** Returns the time left to the answer's head; an unfinished transfer has all of it. */
   long headLeftNanos(long nowNanos) {
-    return headDeadlineNanos - nowNanos;
+    return transfer && !requestWhole ? allowedToHeadNanos : headDeadlineNanos - nowNanos;
   }
 
   /** Notes that the request has arrived whole. A transfer's deadline counts from here. */
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/EntryFixture.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/EntryFixture.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.waxwingbeam.caller.PoisonList;
 import org.waxwingbeam.caller.net.CallerServer;
 import org.waxwingbeam.caller.net.ClassifierCache;
@@ -25,6 +26,7 @@
 import org.waxwingbeam.model.AccountName;
 import org.waxwingbeam.model.AccountTerms;
 import org.waxwingbeam.model.Configuration;
+import org.waxwingbeam.model.ErrorKind;
 import org.waxwingbeam.model.InstanceName;
 import org.waxwingbeam.model.Parameters;
 import org.waxwingbeam.model.RouteName;
@@ -60,6 +62,7 @@
       new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final TargetConnections connections = new TargetConnections();
+  private final AtomicBoolean stopping = new AtomicBoolean();
   private final CallerServer server;
 
   /**
@@ -82,7 +85,7 @@
             new DispatchGate(dispatcher, System::nanoTime),
             connections,
             new ClassifierCache(applied),
-            Optional::empty,
+            () -> Optional.of(ErrorKind.SHUTTING_DOWN).filter(kind -> stopping.get()),
             limit -> limit,
             new RetryBudgets(),
             new RequestIds(shared.instance() + "-", System.currentTimeMillis()),
@@ -167,6 +170,12 @@
     return connections;
   }
 
+  /** Begins an orderly stop: takes no new request and lets those under way end. */
+  public void drain() {
+    stopping.set(true);
+    server.drain();
+  }
+
   /** Returns the number of requests that are being served. */
   public int exchangesUnderWay() {
     return server.exchangesUnderWay();
