--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
@@ -83,7 +83,6 @@
             settings.controls(),
             applied,
             this::onConfiguration);
-    DispatchGate gate = new DispatchGate(dispatcher(), System::nanoTime);
     announcements =
         AnnouncementServer.start(
             group,
@@ -91,6 +90,7 @@
             announcement -> registry.announce(System.nanoTime(), announcement));
     metricsServer = MetricsServer.start(settings.metrics(), metrics);
     platform = new PlatformServer(group, settings.platform(), this::refusal);
+    DispatchGate gate = new DispatchGate(dispatcher(), System::nanoTime);
     callers = new CallerServer(group, settings.callers(), settings.callerLimits(), context(gate));
     control.start();
     repeat(gate::tick, DISPATCH_TICK_MS);
