--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ControlDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ControlDaemon.java
@@ -1,37 +1,31 @@
 package org.waxwingbeam.daemon.control;
 
-import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.concurrent.Future;
 import java.io.IOException;
+import java.security.SecureRandom;
+import java.util.HexFormat;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.waxwingbeam.control.EntryRegistry;
 import org.waxwingbeam.control.EntrySessions;
 import org.waxwingbeam.control.net.EntryStreamServer;
 import org.waxwingbeam.operator.OperatorService;
-import org.waxwingbeam.operator.OperatorService.ChangeOutcome;
-import org.waxwingbeam.operator.net.OperatorOperations;
 import org.waxwingbeam.operator.net.OperatorServer;
 import org.waxwingbeam.replica.ClaimMachine;
-import org.waxwingbeam.replica.LocalLog;
+import org.waxwingbeam.replica.DiskFolder;
+import org.waxwingbeam.replica.Journal;
+import org.waxwingbeam.replica.Replica;
 import org.waxwingbeam.replica.ReplicatedState;
+import org.waxwingbeam.replica.net.ReplicaHost;
 import org.waxwingbeam.settings.ControlSettings;
-import org.waxwingbeam.wire.configuration.Configuration;
+import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.wire.control.NotLeader;
-import org.waxwingbeam.wire.operator.ChangeAnswer;
-import org.waxwingbeam.wire.operator.ChangeRequest;
-import org.waxwingbeam.wire.operator.History;
-import org.waxwingbeam.wire.operator.InForce;
-import org.waxwingbeam.wire.operator.ReplaceReplica;
-import org.waxwingbeam.wire.operator.Status;
 
 /**
- * Runs one control replica: serves entry instances and operators on one event loop.
+ * Runs one control replica: serves other replicas, entry instances and operators on one event loop.
  *
  * <pre>{@code
  * try (ControlDaemon daemon = ControlDaemon.start(settings, claims)) {
@@ -43,31 +37,68 @@
  */
 public final class ControlDaemon implements AutoCloseable {
   private static final Logger LOG = Logger.getLogger(ControlDaemon.class);
-  private static final long TICK_MS = 50;
+  private static final int ID_BYTES = 8;
 
+  private final ControlSettings settings;
   private final EventLoopGroup group;
+  private final Journal journal;
   private final ReplicatedState state;
-  private final LocalLog log;
+  private final ReplicaHost host;
   private final EntryRegistry registry = new EntryRegistry();
   private final EntrySessions sessions;
   private final OperatorService operators;
-  private final ControlSettings settings;
   private final EntryStreamServer entryServer;
   private final OperatorServer operatorServer;
+  private volatile Optional<IOException> failure = Optional.empty();
 
   private ControlDaemon(
-      ControlSettings settings, ClaimMachine claims, String token, String operatorToken) {
+      ControlSettings settings, ClaimMachine claims, Journal journal, Tokens tokens)
+      throws IOException {
     this.settings = settings;
+    this.journal = journal;
     group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     state = new ReplicatedState(claims);
-    log = new LocalLog(state, this::applied);
+    Replica replica =
+        new Replica(
+            journal,
+            state,
+            new SecureRandom(),
+            Replica.Options.DEFAULT,
+            entry -> {},
+            System.nanoTime());
+    host = new ReplicaHost(group, replica, hostSettings(tokens), new Listener());
     sessions =
         new EntrySessions(
-            state, log, registry, token, NotLeader::getDefaultInstance, System::currentTimeMillis);
-    operators = new OperatorService(state, log, registry, System::currentTimeMillis);
+            state, host, registry, tokens.processes(), this::redirect, System::currentTimeMillis);
+    operators = new OperatorService(state, host, registry, System::currentTimeMillis);
     entryServer = new EntryStreamServer(group, settings.entries(), sessions);
     operatorServer =
-        new OperatorServer(group, settings.operators(), operatorToken, new Operations());
+        new OperatorServer(
+            group,
+            settings.operators(),
+            tokens.operators(),
+            new ReplicaOperations(settings.instance(), state, host, registry, operators));
+  }
+
+  private record Tokens(String processes, String operators) {
+    @Override
+    public String toString() {
+      return "Tokens[]";
+    }
+  }
+
+  private ReplicaHost.Settings hostSettings(Tokens tokens) {
+    return new ReplicaHost.Settings(
+        settings.replicas(), settings.entries(), settings.initialReplicas(), tokens.processes());
+  }
+
+  private NotLeader redirect() {
+    Optional<Endpoint> leader = host.leaderEntries();
+    return leader
+        .map(
+            each ->
+                NotLeader.newBuilder().setLeaderHost(each.host()).setLeaderPort(each.port()).build())
+        .orElse(NotLeader.getDefaultInstance());
   }
 
   /**
@@ -75,41 +106,36 @@
    *
    * @param settings its settings
    * @param claims the claim table
-   * @throws IOException if a credential cannot be read
+   * @throws IOException if a credential cannot be read, or the data folder cannot be used or trusted
    */
   public static ControlDaemon start(ControlSettings settings, ClaimMachine claims)
       throws IOException {
-    String token = TokenFile.read(settings.tokenFile());
-    String operatorToken = TokenFile.read(settings.operatorTokenFile());
-    ControlDaemon daemon = new ControlDaemon(settings, claims, token, operatorToken);
-    daemon.run();
-    return daemon;
-  }
-
-  private void run() {
-    EventLoop loop = group.next();
-    loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
-        .addListener(this::ticksEnded);
+    Tokens tokens =
+        new Tokens(
+            TokenFile.read(settings.tokenFile()), TokenFile.read(settings.operatorTokenFile()));
+    Journal journal = Journal.open(DiskFolder.open(settings.dataFolder()), ControlDaemon::newId);
+    ControlDaemon daemon = new ControlDaemon(settings, claims, journal, tokens);
+    daemon.host.start();
     LOG.infof(
-        "event=control-started instance=%s state=memory entries=%d operators=%d",
-        settings.instance(), entryServer.port(), operatorServer.port());
-  }
-
-  private void tick() {
-    long now = System.nanoTime();
-    sessions.tick(now);
-    operators.tick(now);
+        "event=control-started instance=%s replica=%s data=%s replicas=%d entries=%d operators=%d",
+        settings.instance(),
+        journal.replicaId(),
+        settings.dataFolder(),
+        daemon.replicasPort(),
+        daemon.entriesPort(),
+        daemon.operatorsPort());
+    return daemon;
   }
 
-  private void ticksEnded(Future<?> ticks) {
-    if (ticks.cause() != null && !ticks.isCancelled()) {
-      LOG.errorf(ticks.cause(), "event=control-failed instance=%s", settings.instance());
-      group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(done -> {});
-    }
+  private static String newId() {
+    byte[] bytes = new byte[ID_BYTES];
+    new SecureRandom().nextBytes(bytes);
+    return HexFormat.of().formatHex(bytes);
   }
 
-  private void applied() {
-    sessions.publish();
+  /** Returns the port for other replicas. */
+  public int replicasPort() {
+    return host.port();
   }
 
   /** Returns the port for entry instances. */
@@ -122,59 +148,64 @@
     return operatorServer.port();
   }
 
-  /** Waits until the replica has stopped. */
-  public void awaitEnd() throws InterruptedException {
+  /**
+   * Waits until the replica has stopped.
+   *
+   * @throws IOException if it has stopped because its disk failed
+   */
+  public void awaitEnd() throws InterruptedException, IOException {
     group.terminationFuture().sync();
+    if (failure.isPresent()) {
+      throw failure.get();
+    }
   }
 
   @Override
   public void close() {
     operatorServer.close();
     entryServer.close();
+    host.close();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
-  }
-
-  /** Answers operators from the state of this replica. */
-  private final class Operations implements OperatorOperations {
-    @Override
-    public void change(ChangeRequest request, Consumer<ChangeOutcome> receiver) {
-      operators.change(request, receiver);
-    }
-
-    @Override
-    public void replaceReplica(ReplaceReplica request, Consumer<ChangeOutcome> receiver) {
-      receiver.accept(
-          new ChangeOutcome.Answered(
-              ChangeAnswer.newBuilder()
-                  .setResult(ChangeAnswer.Result.REFUSED)
-                  .addReasons("replica '%s': expected a learner".formatted(request.getNewId()))
-                  .build()));
+    try {
+      journal.close();
+    } catch (IOException failed) {
+      LOG.warnf("event=journal-close-failed reason=\"%s\"", failed.getMessage());
     }
+  }
 
+  /** Connects the replica with what it serves. */
+  private final class Listener implements ReplicaHost.Listener {
     @Override
-    public Optional<Configuration> configuration() {
-      return Optional.of(operators.configuration());
+    public void leads(long nowNanos) {
+      registry.startTerm(nowNanos, state.view());
+      LOG.infof(
+          "event=replica-leads instance=%s replica=%s term=%d",
+          settings.instance(), journal.replicaId(), host.replica().term());
     }
 
     @Override
-    public Optional<History> history(long fromNumber) {
-      return Optional.of(operators.history(System.nanoTime(), fromNumber));
+    public void applied() {
+      sessions.publish();
     }
 
     @Override
-    public Optional<InForce> inForce(long number) {
-      return Optional.of(operators.inForce(System.nanoTime(), number));
+    public void ticked(long nowNanos) {
+      sessions.tick(nowNanos);
+      if (host.holdsLease(nowNanos)) {
+        operators.tick(nowNanos);
+      }
     }
 
     @Override
-    public Status status() {
-      return Status.newBuilder()
-          .setReplica(settings.instance().value())
-          .setRole("leader")
-          .setLeader(settings.instance().value())
-          .setConfigurationNumber(state.configuration().number())
-          .addAllEntries(registry.statuses(System.nanoTime()))
-          .build();
+    public void failed(IOException reason) {
+      failure = Optional.of(reason);
+      LOG.errorf(
+          reason,
+          "event=replica-failed instance=%s replica=%s reason=\"%s\"",
+          settings.instance(),
+          journal.replicaId(),
+          reason.getMessage());
+      group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(done -> {});
     }
   }
 }
--- a/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/control/ControlDaemonTest.java
+++ b/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/control/ControlDaemonTest.java
@@ -51,8 +51,9 @@
   private ControlDaemon daemon;
 
   @BeforeEach
-  void start() throws IOException {
+  void start() throws Exception {
     daemon = ControlDaemon.start(settings(), new EchoClaims());
+    await(() -> status().getRole().equals("leader"));
   }
 
   @AfterEach
@@ -231,7 +232,7 @@
     }
   }
 
-  private static final class EchoClaims implements ClaimMachine {
+  static final class EchoClaims implements ClaimMachine {
     @Override
     public ByteString apply(ByteString command, long nowMs) {
       return ByteString.copyFromUtf8("answer to ").concat(command);
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Journal.java
@@ -0,0 +1,228 @@
+package org.waxwingbeam.replica;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+import org.waxwingbeam.wire.replica.JournalBase;
+import org.waxwingbeam.wire.replica.JournalBatch;
+import org.waxwingbeam.wire.replica.JournalHeader;
+import org.waxwingbeam.wire.replica.JournalRecord;
+import org.waxwingbeam.wire.replica.LogEntry;
+import org.waxwingbeam.wire.replica.LogSnapshot;
+
+/**
+ * Keeps a replica's term, vote and log on disk. There is one file at a time: a header, a snapshot to
+ * start from, and one record for each sync.
+ *
+ * <pre>{@code
+ * Journal journal = Journal.open(folder, () -> freshId);
+ * journal.append(batch); // durable when it returns
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+public final class Journal implements AutoCloseable {
+  private static final int FORMAT_VERSION = 1;
+  private static final String PREFIX = "journal-";
+  private static final String TEMPORARY = "new";
+  private static final int FIXED_RECORDS = 2;
+  private static final Recovered NOTHING =
+      new Recovered(LogSnapshot.getDefaultInstance(), 0, "", List.of(), 0);
+
+  private final ReplicaFolder folder;
+  private final String replicaId;
+  private Recovered recovered;
+  private long generation;
+  private ReplicaFolder.AppendFile file;
+  private long baseBytes;
+  private long batchBytes;
+
+  /**
+   * What a journal held when it was opened.
+   *
+   * @param snapshot what the log starts from
+   * @param term the newest term
+   * @param votedFor the replica that got the vote in that term, or empty text
+   * @param entries the entries after the snapshot, in order
+   * @param cutBytes bytes of an interrupted write that were cut from the end
+   */
+  public record Recovered(
+      LogSnapshot snapshot, long term, String votedFor, List<LogEntry> entries, long cutBytes) {
+    /** Copies the list. */
+    public Recovered {
+      entries = List.copyOf(entries);
+    }
+  }
+
+  private Journal(ReplicaFolder folder, String replicaId, long generation, Recovered recovered) {
+    this.folder = folder;
+    this.replicaId = replicaId;
+    this.generation = generation;
+    this.recovered = recovered;
+  }
+
+  /**
+   * Opens the journal in a folder, or creates one under a new replica id.
+   *
+   * @param folder stays open until the journal is closed
+   * @param newId draws a replica id
+   * @throws DamagedJournalException if the journal cannot be trusted
+   * @throws IOException if the folder cannot be read or written
+   */
+  public static Journal open(ReplicaFolder folder, Supplier<String> newId) throws IOException {
+    List<String> names =
+        folder.list().stream().filter(name -> name.startsWith(PREFIX)).sorted().toList();
+    Journal journal =
+        names.isEmpty() ? create(folder, newId.get()) : load(folder, names.getLast());
+    for (String name : folder.list()) {
+      if (!name.equals(journal.fileName())) {
+        folder.delete(name);
+      }
+    }
+    return journal;
+  }
+
+  private static Journal create(ReplicaFolder folder, String id) throws IOException {
+    Journal journal = new Journal(folder, id, 0, NOTHING);
+    journal.restart(JournalBase.getDefaultInstance());
+    return journal;
+  }
+
+  private static Journal load(ReplicaFolder folder, String name) throws IOException {
+    byte[] bytes = folder.read(name);
+    RecordFormat.Contents contents = RecordFormat.read(name, bytes);
+    checkFixedRecords(name, contents);
+    if (contents.end() < bytes.length) {
+      folder.truncate(name, contents.end());
+    }
+    JournalHeader header = contents.records().getFirst().getHeader();
+    long generation = Long.parseLong(name.substring(PREFIX.length()));
+    Recovered recovered = replay(contents.records(), bytes.length - contents.end());
+    Journal journal = new Journal(folder, header.getReplicaId(), generation, recovered);
+    journal.file = folder.append(name);
+    journal.file.sync();
+    folder.sync();
+    journal.baseBytes = RecordFormat.encode(contents.records().get(1)).length;
+    journal.batchBytes = contents.end() - journal.baseBytes;
+    return journal;
+  }
+
+  private static void checkFixedRecords(String name, RecordFormat.Contents contents)
+      throws DamagedJournalException {
+    List<JournalRecord> records = contents.records();
+    if (records.size() < FIXED_RECORDS
+        || !records.getFirst().hasHeader()
+        || !records.get(1).hasBase()) {
+      throw new DamagedJournalException(name, contents.end(), "header or base is missing");
+    }
+    int version = records.getFirst().getHeader().getFormatVersion();
+    if (version != FORMAT_VERSION) {
+      throw new DamagedJournalException(
+          name, 0, "format version %d: expected %d".formatted(version, FORMAT_VERSION));
+    }
+  }
+
+  private static Recovered replay(List<JournalRecord> records, long cutBytes) {
+    JournalBase base = records.get(1).getBase();
+    long snapshotIndex = base.getSnapshot().getIndex();
+    List<LogEntry> entries = new ArrayList<>(base.getBatch().getEntriesList());
+    JournalBatch newest = base.getBatch();
+    for (JournalRecord each : records.subList(FIXED_RECORDS, records.size())) {
+      newest = each.getBatch();
+      newest.getEntriesList().forEach(entry -> put(entries, snapshotIndex, entry));
+    }
+    return new Recovered(
+        base.getSnapshot(), newest.getTerm(), newest.getVotedFor(), entries, cutBytes);
+  }
+
+  private static void put(List<LogEntry> entries, long snapshotIndex, LogEntry entry) {
+    int position = (int) (entry.getIndex() - snapshotIndex - 1);
+    entries.subList(position, entries.size()).clear();
+    entries.add(entry);
+  }
+
+  /** Returns the id that was drawn when the journal was created. */
+  public String replicaId() {
+    return replicaId;
+  }
+
+  /** Returns what the journal held when it was opened, and forgets it. */
+  public Recovered takeRecovered() {
+    Recovered taken = recovered;
+    recovered = NOTHING;
+    return taken;
+  }
+
+  /** Returns the size of what the journal starts from, in bytes. */
+  public long baseBytes() {
+    return baseBytes;
+  }
+
+  /** Returns the size of the batches since then, in bytes. */
+  public long batchBytes() {
+    return batchBytes;
+  }
+
+  /**
+   * Writes a batch; it is durable when the call returns.
+   *
+   * @throws IOException if it may not be durable; the replica must stop
+   */
+  public void append(JournalBatch batch) throws IOException {
+    byte[] bytes = RecordFormat.encode(JournalRecord.newBuilder().setBatch(batch).build());
+    file.write(bytes);
+    file.sync();
+    batchBytes += bytes.length;
+  }
+
+  /**
+   * Replaces the journal by one that starts from a newer snapshot; it is durable when the call
+   * returns.
+   *
+   * @throws IOException if it may not be durable; the replica must stop
+   */
+  public void restart(JournalBase base) throws IOException {
+    JournalHeader header =
+        JournalHeader.newBuilder()
+            .setFormatVersion(FORMAT_VERSION)
+            .setReplicaId(replicaId)
+            .build();
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    bytes.writeBytes(RecordFormat.encode(JournalRecord.newBuilder().setHeader(header).build()));
+    bytes.writeBytes(RecordFormat.encode(JournalRecord.newBuilder().setBase(base).build()));
+    final String before = fileName();
+    if (file != null) {
+      file.close();
+    }
+    replaceBy(bytes.toByteArray());
+    if (folder.list().contains(before)) {
+      folder.delete(before);
+    }
+  }
+
+  private void replaceBy(byte[] bytes) throws IOException {
+    if (folder.list().contains(TEMPORARY)) {
+      folder.delete(TEMPORARY);
+    }
+    file = folder.append(TEMPORARY);
+    file.write(bytes);
+    file.sync();
+    generation++;
+    folder.rename(TEMPORARY, fileName());
+    folder.sync();
+    baseBytes = bytes.length;
+    batchBytes = 0;
+  }
+
+  private String fileName() {
+    return PREFIX + "%012d".formatted(generation);
+  }
+
+  @Override
+  public void close() throws IOException {
+    file.close();
+    folder.close();
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaLog.java
@@ -0,0 +1,173 @@
+package org.waxwingbeam.replica;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.waxwingbeam.wire.replica.AppendRequest;
+import org.waxwingbeam.wire.replica.LogEntry;
+import org.waxwingbeam.wire.replica.LogSnapshot;
+import org.waxwingbeam.wire.replica.Membership;
+
+/** Holds the newest entries of the log in memory, and the memberships that they bring about. */
+final class ReplicaLog {
+  /** The term of an index that the log does not hold. */
+  static final long NO_TERM = -1;
+
+  private final List<LogEntry> entries = new ArrayList<>();
+  private final TreeMap<Long, Membership> memberships = new TreeMap<>();
+  private long baseIndex;
+  private long baseTerm;
+  private long syncedIndex;
+
+  /** Starts from a snapshot and forgets everything else. */
+  void reset(LogSnapshot snapshot) {
+    entries.clear();
+    memberships.clear();
+    baseIndex = snapshot.getIndex();
+    baseTerm = snapshot.getTerm();
+    memberships.put(baseIndex, snapshot.getMembership());
+    syncedIndex = 0;
+  }
+
+  /** Notes that the whole log is durable. */
+  void synced() {
+    syncedIndex = lastIndex();
+  }
+
+  /** Returns the last index up to which the log is durable as it is. */
+  long syncedIndex() {
+    return syncedIndex;
+  }
+
+  /** Adds the entry after the last one. */
+  void append(LogEntry entry) {
+    if (entry.getIndex() != lastIndex() + 1) {
+      throw new IllegalArgumentException(
+          "entry %d: expected %d".formatted(entry.getIndex(), lastIndex() + 1));
+    }
+    entries.add(entry);
+    if (entry.getCommand().hasMembership()) {
+      memberships.put(entry.getIndex(), entry.getCommand().getMembership());
+    }
+  }
+
+  private void truncate(long fromIndex) {
+    entries.subList((int) (fromIndex - baseIndex - 1), entries.size()).clear();
+    memberships.tailMap(fromIndex, true).clear();
+    syncedIndex = Math.min(syncedIndex, fromIndex - 1);
+  }
+
+  /**
+   * Returns where the leader should try next if this log differs from what its request follows.
+   *
+   * @param commitIndex the last index that is known to be committed
+   */
+  Optional<Long> mismatch(AppendRequest request, long commitIndex) {
+    long previous = request.getPreviousIndex();
+    if (previous < baseIndex || termAt(previous) == request.getPreviousTerm()) {
+      return Optional.empty();
+    }
+    if (previous > lastIndex()) {
+      return Optional.of(lastIndex() + 1);
+    }
+    long conflictTerm = termAt(previous);
+    long first = previous;
+    while (first - 1 > commitIndex && termAt(first - 1) == conflictTerm) {
+      first--;
+    }
+    return Optional.of(first);
+  }
+
+  /**
+   * Stores an entry of the leader in place of a different one and of those after it.
+   *
+   * @param commitIndex the last index that is known to be committed
+   * @throws IllegalStateException if that would change a committed entry
+   */
+  void store(LogEntry entry, long commitIndex) {
+    long index = entry.getIndex();
+    if (index <= baseIndex || termAt(index) == entry.getTerm()) {
+      return;
+    }
+    if (index <= commitIndex) {
+      throw new IllegalStateException(
+          "entry %d is committed and differs from the leader's".formatted(index));
+    }
+    if (index <= lastIndex()) {
+      truncate(index);
+    }
+    append(entry);
+  }
+
+  /** Removes the entries up to an index; it must be committed. */
+  void discard(long toIndex) {
+    if (toIndex <= baseIndex) {
+      return;
+    }
+    long term = termAt(toIndex);
+    Membership membership = membershipAt(toIndex);
+    entries.subList(0, (int) (toIndex - baseIndex)).clear();
+    memberships.headMap(toIndex, true).clear();
+    memberships.put(toIndex, membership);
+    baseIndex = toIndex;
+    baseTerm = term;
+  }
+
+  /** Returns the index before the first entry that is held. */
+  long baseIndex() {
+    return baseIndex;
+  }
+
+  long lastIndex() {
+    return baseIndex + entries.size();
+  }
+
+  long lastTerm() {
+    return termAt(lastIndex());
+  }
+
+  /** Returns the term of the entry at an index, or {@link #NO_TERM}. */
+  long termAt(long index) {
+    if (index == baseIndex) {
+      return baseTerm;
+    }
+    boolean held = index > baseIndex && index <= lastIndex();
+    return held ? get(index).getTerm() : NO_TERM;
+  }
+
+  /** Returns the entry at an index that the log holds. */
+  LogEntry get(long index) {
+    return entries.get((int) (index - baseIndex - 1));
+  }
+
+  /** Returns entries in order from an index on, at least one, up to a count and a size. */
+  List<LogEntry> slice(long fromIndex, int maxEntries, int maxBytes) {
+    List<LogEntry> slice = new ArrayList<>();
+    int bytes = 0;
+    for (long index = fromIndex; index <= lastIndex() && slice.size() < maxEntries; index++) {
+      LogEntry entry = get(index);
+      bytes += entry.getSerializedSize();
+      if (bytes > maxBytes && !slice.isEmpty()) {
+        break;
+      }
+      slice.add(entry);
+    }
+    return slice;
+  }
+
+  /** Returns the newest membership, whether it is committed or not. */
+  Membership membership() {
+    return memberships.lastEntry().getValue();
+  }
+
+  /** Returns the index at which the newest membership stands. */
+  long membershipIndex() {
+    return memberships.lastKey();
+  }
+
+  /** Returns the membership after the entry at an index. */
+  Membership membershipAt(long index) {
+    return memberships.floorEntry(index).getValue();
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaReplacement.java
@@ -0,0 +1,153 @@
+package org.waxwingbeam.replica;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.waxwingbeam.wire.replica.Command;
+import org.waxwingbeam.wire.replica.Membership;
+import org.waxwingbeam.wire.replica.ReplicaMember;
+
+/**
+ * Changes, at the leader, which replicas store the log: admits learners and lets a learner take a
+ * voter's place. There is one change of the membership at a time.
+ *
+ * @since 0.1.0
+ */
+public final class ReplicaReplacement {
+  private static final long MAX_BEHIND = 100;
+
+  private final Replica replica;
+  private boolean running;
+
+  /**
+   * Creates the coordinator.
+   *
+   * @param replica the replica at which it works
+   */
+  public ReplicaReplacement(Replica replica) {
+    this.replica = replica;
+  }
+
+  /**
+   * Admits a fresh replica as a learner, or notes a member's new address, if this replica leads and
+   * no other change is under way. The caller repeats the call until the membership shows it.
+   *
+   * @param member the replica
+   * @param fresh whether it has never belonged to a log
+   */
+  public void admit(ReplicaMember member, boolean fresh) {
+    Membership before = replica.membership();
+    if (running || !replica.mayChangeMembership()) {
+      return;
+    }
+    if (!MembershipChange.isMember(before, member.getId())) {
+      if (fresh) {
+        propose(MembershipChange.withLearner(before, member), outcome -> {});
+      }
+    } else if (!MembershipChange.hasAddress(before, member)) {
+      propose(MembershipChange.withAddress(before, member), outcome -> {});
+    }
+  }
+
+  /**
+   * Lets a learner that has caught up take a voter's place.
+   *
+   * @param nowNanos the present time
+   * @param oldId the voter that leaves
+   * @param newId the learner, or a voter if an earlier replacement was interrupted
+   * @param receiver called once with what became of it
+   */
+  public void replace(
+      long nowNanos, String oldId, String newId, Consumer<ProposalOutcome> receiver) {
+    if (replica.role() != ReplicaRole.LEADER) {
+      receiver.accept(new ProposalOutcome.NotLeader());
+      return;
+    }
+    Optional<String> refusal = refusal(nowNanos, oldId, newId);
+    if (refusal.isPresent()) {
+      receiver.accept(new ProposalOutcome.Refused(refusal.get()));
+      return;
+    }
+    running = true;
+    Consumer<ProposalOutcome> finish =
+        outcome -> {
+          running = false;
+          receiver.accept(outcome);
+        };
+    if (MembershipChange.isVoter(replica.membership(), newId)) {
+      remove(oldId, finish);
+    } else {
+      promote(oldId, newId, finish);
+    }
+  }
+
+  private Optional<String> refusal(long nowNanos, String oldId, String newId) {
+    Membership before = replica.membership();
+    if (running || !replica.mayChangeMembership()) {
+      return Optional.of("another change of the replicas is under way; expected it to be finished");
+    }
+    if (!MembershipChange.isVoter(before, oldId)) {
+      return Optional.of("replica '%s': expected a voter".formatted(oldId));
+    }
+    if (oldId.equals(replica.id())) {
+      return Optional.of(
+          "replica '%s': expected one that does not lead; stop it first".formatted(oldId));
+    }
+    if (MembershipChange.isVoter(before, newId)) {
+      return interruptedRefusal(before, newId);
+    }
+    if (!MembershipChange.isLearner(before, newId)) {
+      return Optional.of("replica '%s': expected a learner".formatted(newId));
+    }
+    return progressRefusal(nowNanos, newId)
+        .or(
+            () ->
+                MembershipChange.marginRefusal(
+                    before, oldId, newId, each -> answers(nowNanos, each)));
+  }
+
+  private static Optional<String> interruptedRefusal(Membership before, String newId) {
+    boolean interrupted = before.getVotersCount() % 2 == 0;
+    return interrupted
+        ? Optional.empty()
+        : Optional.of("replica '%s': expected a learner; it is a voter".formatted(newId));
+  }
+
+  private Optional<String> progressRefusal(long nowNanos, String newId) {
+    long matched =
+        replica
+            .leadership()
+            .flatMap(each -> each.progress(newId))
+            .map(ReplicaProgress::matchIndex)
+            .orElse(0L);
+    boolean caughtUp = replica.lastIndex() - matched <= MAX_BEHIND && answers(nowNanos, newId);
+    return caughtUp
+        ? Optional.empty()
+        : Optional.of(
+            "replica '%s': expected a learner that has caught up; it holds %d of %d entries"
+                .formatted(newId, matched, replica.lastIndex()));
+  }
+
+  private boolean answers(long nowNanos, String id) {
+    return replica.leadership().filter(each -> each.answers(nowNanos, id)).isPresent();
+  }
+
+  private void promote(String oldId, String newId, Consumer<ProposalOutcome> finish) {
+    propose(
+        MembershipChange.promoted(replica.membership(), newId),
+        outcome -> {
+          if (outcome instanceof ProposalOutcome.Applied) {
+            remove(oldId, finish);
+          } else {
+            finish.accept(outcome);
+          }
+        });
+  }
+
+  private void remove(String oldId, Consumer<ProposalOutcome> finish) {
+    propose(MembershipChange.withoutVoter(replica.membership(), oldId), finish);
+  }
+
+  private void propose(Membership after, Consumer<ProposalOutcome> receiver) {
+    replica.propose(Command.newBuilder().setMembership(after).build(), receiver);
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaHost.java
@@ -0,0 +1,244 @@
+package org.waxwingbeam.replica.net;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.waxwingbeam.replica.CommandLog;
+import org.waxwingbeam.replica.KnownReplicas;
+import org.waxwingbeam.replica.ProposalOutcome;
+import org.waxwingbeam.replica.Replica;
+import org.waxwingbeam.replica.ReplicaReplacement;
+import org.waxwingbeam.replica.ReplicaRole;
+import org.waxwingbeam.settings.Endpoint;
+import org.waxwingbeam.wire.replica.Command;
+import org.waxwingbeam.wire.replica.ReplicaHello;
+import org.waxwingbeam.wire.replica.ReplicaMember;
+import org.waxwingbeam.wire.replica.ReplicaMessage;
+
+/**
+ * Runs a replica on one event loop: feeds it messages and time, and makes the work of many calls
+ * durable in one sync.
+ *
+ * @since 0.1.0
+ */
+public final class ReplicaHost implements CommandLog, AutoCloseable {
+  private static final long TICK_MS = 20;
+  private static final long ANNOUNCE_INTERVAL_MS = 500;
+
+  private final EventLoop loop;
+  private final Replica replica;
+  private final ReplicaReplacement replacement;
+  private final KnownReplicas known;
+  private final Settings settings;
+  private final Listener listener;
+  private final ReplicaLinks links;
+  private boolean flushScheduled;
+  private boolean wasFresh = true;
+  private long leasedTerm;
+  private long publishedIndex;
+  private long nextAnnounceNanos;
+
+  /**
+   * Says where a replica runs.
+   *
+   * @param replicas where it takes other replicas
+   * @param entries where it takes entry instances
+   * @param initial the addresses of the first voters
+   * @param token the credential of the system's own processes
+   */
+  public record Settings(
+      Endpoint replicas, Endpoint entries, List<Endpoint> initial, String token) {
+    @Override
+    public String toString() {
+      return "Settings[replicas=" + replicas + "]";
+    }
+  }
+
+  /** Takes what the replica does, on its event loop. */
+  public interface Listener {
+    /** Called when this replica has begun to lead and may answer. */
+    void leads(long nowNanos);
+
+    /** Called after commands were applied. */
+    void applied();
+
+    /** Called at each tick, after everything else. */
+    void ticked(long nowNanos);
+
+    /** Called once when the disk has failed; the replica takes no part any more. */
+    void failed(IOException reason);
+  }
+
+  /**
+   * Creates a host and starts to listen; {@link #start} begins the work.
+   *
+   * @param group its one event loop runs everything
+   * @param replica the replica
+   * @param settings where it runs
+   * @param listener takes what the replica does
+   */
+  public ReplicaHost(
+      EventLoopGroup group, Replica replica, Settings settings, Listener listener) {
+    loop = group.next();
+    this.replica = replica;
+    this.settings = settings;
+    this.listener = listener;
+    replacement = new ReplicaReplacement(replica);
+    known = new KnownReplicas(settings.initial());
+    links =
+        new ReplicaLinks(
+            group, settings.replicas(), settings.token(), this::hello, known::heard, this::receive);
+  }
+
+  /** Begins to work. */
+  public void start() {
+    loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
+        .addListener(
+            ticks -> {
+              if (!ticks.isCancelled() && ticks.cause() != null) {
+                listener.failed(new IOException("replica stopped", ticks.cause()));
+              }
+            });
+  }
+
+  private ReplicaMember member() {
+    return ReplicaMember.newBuilder()
+        .setId(replica.id())
+        .setHost(settings.replicas().host())
+        .setPort(links.port())
+        .build();
+  }
+
+  private ReplicaHello hello() {
+    return ReplicaHello.newBuilder()
+        .setMember(member())
+        .setFresh(replica.isFresh())
+        .setEntriesHost(settings.entries().host())
+        .setEntriesPort(settings.entries().port())
+        .build();
+  }
+
+  private void receive(ReplicaMessage message) {
+    replica.receive(System.nanoTime(), message);
+    scheduleFlush();
+  }
+
+  private void tick() {
+    long now = System.nanoTime();
+    links.connectTo(otherAddresses());
+    announceIfDue(now);
+    if (replica.isFresh()) {
+      known.founders(member(), settings.replicas()).ifPresent(replica::found);
+    }
+    known.all().forEach(hello -> replacement.admit(hello.getMember(), hello.getFresh()));
+    replica.tick(now);
+    flush();
+    listener.ticked(now);
+  }
+
+  private void announceIfDue(long now) {
+    boolean changed = wasFresh && !replica.isFresh();
+    if (changed || (replica.isFresh() && now - nextAnnounceNanos >= 0)) {
+      wasFresh = replica.isFresh();
+      nextAnnounceNanos = now + TimeUnit.MILLISECONDS.toNanos(ANNOUNCE_INTERVAL_MS);
+      links.announce();
+    }
+  }
+
+  private Set<Endpoint> otherAddresses() {
+    Stream<Endpoint> members =
+        Stream.concat(
+                replica.membership().getVotersList().stream(),
+                replica.membership().getLearnersList().stream())
+            .map(KnownReplicas::address);
+    Endpoint own = KnownReplicas.address(member());
+    return Stream.concat(settings.initial().stream(), members)
+        .filter(each -> !each.equals(own) && each.port() > 0)
+        .collect(Collectors.toSet());
+  }
+
+  private void scheduleFlush() {
+    if (!flushScheduled) {
+      flushScheduled = true;
+      loop.execute(this::flush);
+    }
+  }
+
+  private void flush() {
+    flushScheduled = false;
+    if (replica.role() == ReplicaRole.FAILED) {
+      return;
+    }
+    long now = System.nanoTime();
+    try {
+      replica.flush(now).forEach(links::send);
+    } catch (IOException failed) {
+      listener.failed(failed);
+      return;
+    }
+    noteLeadership(System.nanoTime());
+    if (replica.appliedIndex() > publishedIndex) {
+      publishedIndex = replica.appliedIndex();
+      listener.applied();
+    }
+  }
+
+  private void noteLeadership(long now) {
+    if (leasedTerm != replica.term() && replica.holdsLease(now)) {
+      leasedTerm = replica.term();
+      listener.leads(now);
+    }
+  }
+
+  @Override
+  public void propose(Command command, Consumer<ProposalOutcome> receiver) {
+    replica.propose(command, receiver);
+    scheduleFlush();
+  }
+
+  /** Lets a learner take a voter's place; must be called on the event loop. */
+  public void replace(String oldId, String newId, Consumer<ProposalOutcome> receiver) {
+    replacement.replace(System.nanoTime(), oldId, newId, receiver);
+    scheduleFlush();
+  }
+
+  @Override
+  public boolean holdsLease(long nowNanos) {
+    return leasedTerm == replica.term() && replica.holdsLease(nowNanos);
+  }
+
+  /** Returns the replica; it may be used on the event loop only. */
+  public Replica replica() {
+    return replica;
+  }
+
+  /** Returns what other replicas have said of themselves. */
+  public KnownReplicas known() {
+    return known;
+  }
+
+  /** Returns where the leader takes entry instances, if it is known and is another replica. */
+  public Optional<Endpoint> leaderEntries() {
+    return replica
+        .leaderId()
+        .flatMap(known::byId)
+        .map(hello -> new Endpoint(hello.getEntriesHost(), hello.getEntriesPort()));
+  }
+
+  /** Returns the port for other replicas. */
+  public int port() {
+    return links.port();
+  }
+
+  @Override
+  public void close() {
+    links.close();
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaLinks.java
@@ -0,0 +1,201 @@
+package org.waxwingbeam.replica.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.waxwingbeam.control.net.Channels;
+import org.waxwingbeam.control.net.MessageFraming;
+import org.waxwingbeam.settings.Endpoint;
+import org.waxwingbeam.wire.replica.ReplicaFrame;
+import org.waxwingbeam.wire.replica.ReplicaHello;
+import org.waxwingbeam.wire.replica.ReplicaMessage;
+
+/**
+ * Carries messages between control replicas. Each replica sends on the connections that it has
+ * opened, and receives on all.
+ *
+ * @since 0.1.0
+ */
+public final class ReplicaLinks implements AutoCloseable {
+  private static final int CONNECT_TIMEOUT_MS = 500;
+
+  private final EventLoopGroup group;
+  private final String token;
+  private final Supplier<ReplicaHello> ownHello;
+  private final Consumer<ReplicaHello> helloReceiver;
+  private final Consumer<ReplicaMessage> messageReceiver;
+  private final Channel server;
+  private final Map<String, Outbound> outbound = new TreeMap<>();
+  private final Map<String, Channel> channelById = new HashMap<>();
+
+  private record Outbound(Optional<Channel> channel) {}
+
+  /**
+   * Starts to listen.
+   *
+   * @param group its one event loop also runs the receivers
+   * @param address where to listen
+   * @param token the credential of the system's own processes
+   * @param ownHello says who this replica is, without the credential
+   * @param helloReceiver takes what other replicas say of themselves
+   * @param messageReceiver takes messages
+   */
+  public ReplicaLinks(
+      EventLoopGroup group,
+      Endpoint address,
+      String token,
+      Supplier<ReplicaHello> ownHello,
+      Consumer<ReplicaHello> helloReceiver,
+      Consumer<ReplicaMessage> messageReceiver) {
+    this.group = group;
+    this.token = token;
+    this.ownHello = ownHello;
+    this.helloReceiver = helloReceiver;
+    this.messageReceiver = messageReceiver;
+    server =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .childHandler(new Initializer())
+            .bind(address.socketAddress())
+            .syncUninterruptibly()
+            .channel();
+  }
+
+  /** Returns the port that it listens on. */
+  public int port() {
+    return ((InetSocketAddress) server.localAddress()).getPort();
+  }
+
+  /** Connects to every address that has no connection, and drops connections to all others. */
+  public void connectTo(Set<Endpoint> addresses) {
+    addresses.stream()
+        .filter(each -> !outbound.containsKey(each.toString()))
+        .forEach(this::connect);
+    outbound.forEach(
+        (address, each) -> {
+          boolean wanted = addresses.stream().anyMatch(one -> one.toString().equals(address));
+          if (!wanted) {
+            each.channel().ifPresent(Channels::close);
+          }
+        });
+  }
+
+  private void connect(Endpoint address) {
+    outbound.put(address.toString(), new Outbound(Optional.empty()));
+    new Bootstrap()
+        .group(group)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .handler(new Initializer())
+        .connect(address.socketAddress())
+        .addListener((ChannelFuture done) -> connected(address, done));
+  }
+
+  private void connected(Endpoint address, ChannelFuture done) {
+    if (!done.isSuccess()) {
+      outbound.remove(address.toString());
+      return;
+    }
+    Channel channel = done.channel();
+    outbound.put(address.toString(), new Outbound(Optional.of(channel)));
+    channel.closeFuture().addListener(gone -> lost(address, channel));
+    sendHello(channel);
+  }
+
+  private void lost(Endpoint address, Channel channel) {
+    outbound.remove(address.toString());
+    channelById.values().removeIf(channel::equals);
+  }
+
+  private void sendHello(Channel channel) {
+    ReplicaHello hello = ownHello.get().toBuilder().setToken(token).build();
+    Channels.send(channel, ReplicaFrame.newBuilder().setHello(hello).build());
+  }
+
+  /** Tells every connected replica again who this replica is. */
+  public void announce() {
+    outbound.values().forEach(each -> each.channel().ifPresent(this::sendHello));
+  }
+
+  /** Sends a message, or drops it if its receiver is not connected or does not read. */
+  public void send(ReplicaMessage message) {
+    Channel channel = channelById.get(message.getTo());
+    if (channel != null && channel.isWritable()) {
+      Channels.send(channel, ReplicaFrame.newBuilder().setMessage(message).build());
+    }
+  }
+
+  private boolean isOutbound(Channel channel) {
+    return outbound.values().stream().anyMatch(each -> each.channel().equals(Optional.of(channel)));
+  }
+
+  @Override
+  public void close() {
+    server.close().syncUninterruptibly();
+  }
+
+  private final class Initializer extends ChannelInitializer<SocketChannel> {
+    @Override
+    protected void initChannel(SocketChannel channel) {
+      MessageFraming.addTo(channel.pipeline(), ReplicaFrame.getDefaultInstance());
+      channel.pipeline().addLast(new Handler());
+    }
+  }
+
+  private final class Handler extends SimpleChannelInboundHandler<ReplicaFrame> {
+    private boolean authenticated;
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, ReplicaFrame frame) {
+      if (frame.hasHello()) {
+        greet(context.channel(), frame.getHello());
+      } else if (authenticated) {
+        messageReceiver.accept(frame.getMessage());
+      } else {
+        Channels.close(context.channel());
+      }
+    }
+
+    private void greet(Channel channel, ReplicaHello hello) {
+      byte[] expected = token.getBytes(StandardCharsets.UTF_8);
+      if (!MessageDigest.isEqual(expected, hello.getToken().getBytes(StandardCharsets.UTF_8))) {
+        Channels.close(channel);
+        return;
+      }
+      boolean first = !authenticated;
+      authenticated = true;
+      if (isOutbound(channel)) {
+        channelById.put(hello.getMember().getId(), channel);
+      } else if (first) {
+        sendHello(channel);
+      }
+      helloReceiver.accept(hello.toBuilder().clearToken().build());
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      Channels.close(context.channel());
+    }
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/package-info.java
@@ -0,0 +1,2 @@
+/** Connects control replicas to each other. */
+package org.waxwingbeam.replica.net;
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/replica/FakeFolder.java
@@ -0,0 +1,196 @@
+package org.waxwingbeam.tools.fakes.replica;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.waxwingbeam.replica.ReplicaFolder;
+
+/**
+ * A replica's folder in memory that loses, at a crash, what was not synced.
+ *
+ * <p>Of bytes that were written and not synced, any first part survives, and the last surviving ones
+ * may be garbage. Of files created, renamed and deleted since the folder was synced, any first part
+ * of these operations survives.
+ *
+ * @since 0.1.0
+ */
+public final class FakeFolder implements ReplicaFolder {
+  private final DiskFaults faults;
+  private Map<String, Content> files = new TreeMap<>();
+  private Map<String, Content> durableFiles = new TreeMap<>();
+  private final List<Consumer<Map<String, Content>>> unsynced = new ArrayList<>();
+
+  /** Decides, before each operation, whether the process crashes or the disk fails. */
+  public interface DiskFaults {
+    /** Lets every operation succeed. */
+    DiskFaults NONE = () -> {};
+
+    /**
+     * Called before an operation changes anything.
+     *
+     * @throws SimulatedCrashException if the process is to crash here
+     * @throws IOException if the disk is to fail
+     */
+    void beforeOperation() throws IOException;
+  }
+
+  /** Stands for the end of the process in the middle of an operation. */
+  public static final class SimulatedCrashException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+  }
+
+  private static final class Content {
+    private byte[] durable = {};
+    private ByteArrayOutputStream volatileBytes = new ByteArrayOutputStream();
+
+    byte[] all() {
+      return volatileBytes.toByteArray();
+    }
+
+    void set(byte[] bytes) {
+      volatileBytes = new ByteArrayOutputStream();
+      volatileBytes.writeBytes(bytes);
+    }
+
+    void crash(RandomGenerator random) {
+      byte[] written = all();
+      int unsyncedBytes = Math.max(0, written.length - durable.length);
+      int kept = unsyncedBytes == 0 ? 0 : random.nextInt(unsyncedBytes + 1);
+      ByteArrayOutputStream left = new ByteArrayOutputStream();
+      left.writeBytes(durable);
+      left.write(written, durable.length, kept);
+      byte[] bytes = left.toByteArray();
+      if (kept > 0 && random.nextBoolean()) {
+        bytes[bytes.length - 1 - random.nextInt(kept)] ^= 0x55;
+      }
+      durable = bytes;
+      set(bytes);
+    }
+  }
+
+  /**
+   * Creates an empty folder.
+   *
+   * @param faults decides about crashes and failures
+   */
+  public FakeFolder(DiskFaults faults) {
+    this.faults = faults;
+  }
+
+  /** Loses what was not synced, as the end of the machine does. */
+  public void crash(RandomGenerator random) {
+    int kept = random.nextInt(unsynced.size() + 1);
+    unsynced.subList(0, kept).forEach(operation -> operation.accept(durableFiles));
+    unsynced.clear();
+    files = new TreeMap<>(durableFiles);
+    files.values().forEach(content -> content.crash(random));
+  }
+
+  /** Returns the durable size of all files in bytes. */
+  public long durableBytes() {
+    return files.values().stream().mapToLong(content -> content.durable.length).sum();
+  }
+
+  /** Inverts the bits of one byte of a file. */
+  public void damage(String name, int offset) {
+    Content content = files.get(name);
+    byte[] bytes = content.all();
+    bytes[offset] ^= (byte) 0xFF;
+    content.durable = bytes;
+    content.set(bytes);
+  }
+
+  @Override
+  public List<String> list() {
+    return List.copyOf(files.keySet());
+  }
+
+  @Override
+  public byte[] read(String name) throws IOException {
+    return content(name).all();
+  }
+
+  private Content content(String name) throws IOException {
+    return Optional.ofNullable(files.get(name))
+        .orElseThrow(() -> new IOException("no file " + name));
+  }
+
+  private void change(Consumer<Map<String, Content>> operation) throws IOException {
+    faults.beforeOperation();
+    operation.accept(files);
+    unsynced.add(operation);
+  }
+
+  @Override
+  public AppendFile append(String name) throws IOException {
+    if (!files.containsKey(name)) {
+      Content created = new Content();
+      change(map -> map.put(name, created));
+    }
+    return new FakeFile(content(name));
+  }
+
+  @Override
+  public void truncate(String name, long length) throws IOException {
+    faults.beforeOperation();
+    Content content = content(name);
+    byte[] cut = java.util.Arrays.copyOf(content.all(), (int) length);
+    content.set(cut);
+    content.durable = cut;
+  }
+
+  @Override
+  public void rename(String from, String to) throws IOException {
+    change(
+        map -> {
+          Content moved = map.remove(from);
+          if (moved != null) {
+            map.put(to, moved);
+          }
+        });
+  }
+
+  @Override
+  public void delete(String name) throws IOException {
+    change(map -> map.remove(name));
+  }
+
+  @Override
+  public void sync() throws IOException {
+    faults.beforeOperation();
+    durableFiles = new TreeMap<>(files);
+    unsynced.clear();
+  }
+
+  @Override
+  public void close() {}
+
+  private final class FakeFile implements AppendFile {
+    private final Content content;
+
+    FakeFile(Content content) {
+      this.content = content;
+    }
+
+    @Override
+    public void write(byte[] bytes) throws IOException {
+      faults.beforeOperation();
+      content.volatileBytes.writeBytes(bytes);
+    }
+
+    @Override
+    public void sync() throws IOException {
+      faults.beforeOperation();
+      content.durable = content.all();
+    }
+
+    @Override
+    public void close() {}
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/replica/FakeNetwork.java
@@ -0,0 +1,87 @@
+package org.waxwingbeam.tools.fakes.replica;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * Carries messages between nodes late, twice, out of order or not at all.
+ *
+ * @param <M> the type of the messages
+ * @since 0.1.0
+ */
+public final class FakeNetwork<M> {
+  private final RandomGenerator random;
+  private final Faults faults;
+  private final List<InFlight<M>> inFlight = new ArrayList<>();
+  private final Set<Link> cuts = new HashSet<>();
+  private boolean reliable;
+
+  /**
+   * Says how faulty the network is.
+   *
+   * @param lossPercent messages that are lost
+   * @param duplicationPercent messages that arrive twice
+   * @param maxDelayMs longest way of a message, in milliseconds
+   */
+  public record Faults(int lossPercent, int duplicationPercent, int maxDelayMs) {}
+
+  private record Link(String from, String to) {}
+
+  private record InFlight<M>(String from, String to, M message, long arrivalMs) {}
+
+  /** Takes a message that has arrived. */
+  public interface Receiver<M> {
+    /** Handles the message. */
+    void receive(String from, String to, M message);
+  }
+
+  /** Creates a network without cuts. */
+  public FakeNetwork(RandomGenerator random, Faults faults) {
+    this.random = random;
+    this.faults = faults;
+  }
+
+  /** Makes the network lose and duplicate nothing from now on, or be faulty again. */
+  public void setReliable(boolean reliable) {
+    this.reliable = reliable;
+  }
+
+  /** Sends a message. */
+  public void send(long nowMs, String from, String to, M message) {
+    int copies = !reliable && random.nextInt(100) < faults.duplicationPercent() ? 2 : 1;
+    for (int copy = 0; copy < copies; copy++) {
+      if (reliable || random.nextInt(100) >= faults.lossPercent()) {
+        long delay = 1L + random.nextInt(reliable ? 2 : faults.maxDelayMs());
+        inFlight.add(new InFlight<>(from, to, message, nowMs + delay));
+      }
+    }
+  }
+
+  /** Loses every message from one node to another until {@link #heal}. */
+  public void cut(String from, String to) {
+    cuts.add(new Link(from, to));
+  }
+
+  /** Ends all cuts. */
+  public void heal() {
+    cuts.clear();
+  }
+
+  /** Returns whether messages from one node to another are lost. */
+  public boolean isCut(String from, String to) {
+    return cuts.contains(new Link(from, to));
+  }
+
+  /** Hands out the messages that have arrived by now. */
+  public void deliver(long nowMs, Receiver<M> receiver) {
+    List<InFlight<M>> due =
+        inFlight.stream().filter(each -> each.arrivalMs() <= nowMs).toList();
+    inFlight.removeIf(each -> each.arrivalMs() <= nowMs);
+    due.stream()
+        .filter(each -> !isCut(each.from(), each.to()))
+        .forEach(each -> receiver.receive(each.from(), each.to(), each.message()));
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/replica/ReplicaFaults.java
@@ -0,0 +1,155 @@
+package org.waxwingbeam.tools.fakes.replica;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.waxwingbeam.replica.ProposalOutcome;
+import org.waxwingbeam.replica.Replica;
+import org.waxwingbeam.wire.replica.Membership;
+import org.waxwingbeam.wire.replica.ReplicaMember;
+
+/** Lets replicas crash, freeze, lose each other and lose their disks, at random. */
+final class ReplicaFaults {
+  private static final int MEAN_PAUSE_MS = 1_500;
+  private static final int MAX_CUT_MS = 6_000;
+  private static final int MAX_FREEZE_MS = 5_000;
+  private static final int MAX_DOWN_MS = 3_000;
+  private static final int CRASH_PERCENT_OF_OPERATIONS = 2;
+
+  private final RandomGenerator random;
+  private final FakeNetwork<?> network;
+  private final List<SimulatedReplica> replicas;
+  private final Map<String, SimulatedReplica> replacements = new TreeMap<>();
+  private long nextFaultMs;
+  private long healMs;
+  private int lostDisks;
+
+  ReplicaFaults(
+      RandomGenerator random, FakeNetwork<?> network, List<SimulatedReplica> replicas) {
+    this.random = random;
+    this.network = network;
+    this.replicas = replicas;
+    nextFaultMs = 5_000;
+    healMs = Long.MAX_VALUE;
+  }
+
+  int lostDisks() {
+    return lostDisks;
+  }
+
+  /** Causes the faults of one step and mends those whose time is over. */
+  void step(long nowMs, Optional<SimulatedReplica> leader) {
+    if (nowMs >= healMs) {
+      network.heal();
+      healMs = Long.MAX_VALUE;
+    }
+    leader.ifPresent(each -> replaceLostReplicas(nowMs, each));
+    if (nowMs >= nextFaultMs) {
+      nextFaultMs = nowMs + random.nextInt(2 * MEAN_PAUSE_MS);
+      cause(nowMs, leader);
+    }
+  }
+
+  private void cause(long nowMs, Optional<SimulatedReplica> leader) {
+    SimulatedReplica victim =
+        leader.filter(each -> random.nextInt(3) == 0).orElseGet(this::anyReplica);
+    switch (random.nextInt(6)) {
+      case 0 -> victim.crash(nowMs, random.nextInt(MAX_DOWN_MS));
+      case 1 -> victim.freeze(nowMs + random.nextInt(MAX_FREEZE_MS));
+      case 2 -> cutOff(nowMs, victim, true, true);
+      case 3 -> cutOff(nowMs, victim, random.nextBoolean(), random.nextBoolean());
+      case 4 -> toggleCrashesAtDiskOperations(victim);
+      default -> loseDisk(nowMs, victim, leader);
+    }
+  }
+
+  private SimulatedReplica anyReplica() {
+    return replicas.get(random.nextInt(replicas.size()));
+  }
+
+  private void toggleCrashesAtDiskOperations(SimulatedReplica victim) {
+    victim.setCrashPercentOfOperations(random.nextBoolean() ? CRASH_PERCENT_OF_OPERATIONS : 0);
+  }
+
+  private void cutOff(long nowMs, SimulatedReplica victim, boolean incoming, boolean outgoing) {
+    healMs = nowMs + random.nextInt(MAX_CUT_MS);
+    for (SimulatedReplica other : replicas) {
+      if (other != victim && incoming) {
+        network.cut(other.id(), victim.id());
+      }
+      if (other != victim && outgoing) {
+        network.cut(victim.id(), other.id());
+      }
+    }
+  }
+
+  /** Loses the disk of a voter, if nothing else is being replaced. */
+  private void loseDisk(long nowMs, SimulatedReplica victim, Optional<SimulatedReplica> leader) {
+    boolean possible =
+        leader.isPresent() && replacements.isEmpty() && !leader.get().equals(victim);
+    if (!possible || !isVoter(leader.get(), victim.id())) {
+      return;
+    }
+    lostDisks++;
+    replacements.put(victim.id(), victim);
+    if (random.nextBoolean()) {
+      victim.failDisk(nowMs + MAX_DOWN_MS);
+    } else {
+      victim.loseDisk(nowMs, random.nextInt(MAX_DOWN_MS));
+    }
+  }
+
+  private static boolean isVoter(SimulatedReplica leader, String id) {
+    return membership(leader).getVotersList().stream()
+        .map(ReplicaMember::getId)
+        .anyMatch(id::equals);
+  }
+
+  private static Membership membership(SimulatedReplica leader) {
+    return leader.running().orElseThrow().replica().membership();
+  }
+
+  /** Lets the leader admit replicas with new disks and give them the places of the lost ones. */
+  void replaceLostReplicas(long nowMs, SimulatedReplica leader) {
+    for (Map.Entry<String, SimulatedReplica> each : new ArrayList<>(replacements.entrySet())) {
+      replace(nowMs, leader, each.getKey(), each.getValue());
+    }
+  }
+
+  private void replace(
+      long nowMs, SimulatedReplica leader, String lostId, SimulatedReplica fresh) {
+    if (fresh.id().equals(lostId)) {
+      return;
+    }
+    SimulatedReplica.Running leading = leader.running().orElseThrow();
+    boolean fits = fresh.running().map(SimulatedReplica.Running::replica)
+        .map(Replica::isFresh).orElse(false);
+    leading.replacement().admit(fresh.member(), fits);
+    if (!isVoter(leader, lostId)) {
+      replacements.remove(lostId);
+      return;
+    }
+    leading
+        .replacement()
+        .replace(
+            TimeUnit.MILLISECONDS.toNanos(nowMs), lostId, fresh.id(), ReplicaFaults::ignore);
+  }
+
+  private static void ignore(ProposalOutcome outcome) {}
+
+  boolean replacementsFinished() {
+    return replacements.isEmpty();
+  }
+
+  /** Ends all faults. */
+  void end(long nowMs) {
+    network.heal();
+    network.setReliable(true);
+    replicas.forEach(each -> each.setCrashPercentOfOperations(0));
+    replicas.forEach(each -> each.freeze(nowMs));
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/replica/ReplicaRun.java
@@ -0,0 +1,158 @@
+package org.waxwingbeam.tools.fakes.replica;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
+import org.waxwingbeam.replica.Replica;
+import org.waxwingbeam.wire.replica.ReplicaMember;
+import org.waxwingbeam.wire.replica.ReplicaMessage;
+
+/**
+ * Runs control replicas under random faults and checks that nothing accepted is lost or changed.
+ *
+ * <pre>{@code
+ * ReplicaRun.Report report = new ReplicaRun(seed, 3).run(60_000);
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+public final class ReplicaRun {
+  private static final int STEP_MS = 10;
+  private static final int OPERATORS = 3;
+  private static final int SETTLE_MS = 30_000;
+  private static final FakeNetwork.Faults NETWORK_FAULTS = new FakeNetwork.Faults(5, 5, 60);
+
+  private final RandomGenerator random;
+  private final ReplicaInvariants invariants = new ReplicaInvariants();
+  private final FakeNetwork<ReplicaMessage> network;
+  private final List<SimulatedReplica> replicas;
+  private final List<SimulatedOperator> operators;
+  private final ReplicaFaults faults;
+  private long nowMs;
+
+  /**
+   * What has happened in a run.
+   *
+   * @param acceptedChanges changes that operators were told are accepted
+   * @param conflicts changes that came second
+   * @param resends changes that were sent again
+   * @param terms terms that had a leader
+   * @param crashes ends of processes
+   * @param lostDisks disks that were lost and replaced
+   */
+  public record Report(
+      int acceptedChanges, int conflicts, int resends, int terms, int crashes, int lostDisks) {}
+
+  /**
+   * Prepares a run.
+   *
+   * @param seed decides about every fault
+   * @param count number of voters
+   */
+  public ReplicaRun(long seed, int count) {
+    random = new SplittableRandom(seed);
+    network = new FakeNetwork<>(random, NETWORK_FAULTS);
+    replicas =
+        IntStream.range(0, count)
+            .mapToObj(slot -> new SimulatedReplica(slot, random, invariants))
+            .toList();
+    operators =
+        IntStream.range(0, OPERATORS)
+            .mapToObj(each -> new SimulatedOperator("operator" + each, random, invariants))
+            .toList();
+    faults = new ReplicaFaults(random, network, replicas);
+  }
+
+  /**
+   * Runs under faults, then without, until every change is answered.
+   *
+   * @param durationMs how long faults occur, in simulated milliseconds
+   * @return what has happened
+   * @throws InvariantViolation if a rule was broken
+   */
+  public Report run(long durationMs) {
+    List<ReplicaMember> voters = replicas.stream().map(SimulatedReplica::member).toList();
+    step(false);
+    replicas.getFirst().running().orElseThrow().replica().found(voters);
+    while (nowMs < durationMs) {
+      faults.step(nowMs, leader());
+      step(true);
+    }
+    settle();
+    return report();
+  }
+
+  private Optional<SimulatedReplica> leader() {
+    long nowNanos = TimeUnit.MILLISECONDS.toNanos(nowMs);
+    return replicas.stream()
+        .filter(each -> each.responsive(nowMs).isPresent())
+        .filter(each -> each.running().orElseThrow().replica().holdsLease(nowNanos))
+        .findFirst();
+  }
+
+  private void step(boolean mayBegin) {
+    nowMs += STEP_MS;
+    network.deliver(nowMs, this::deliver);
+    replicas.forEach(each -> each.step(nowMs).forEach(message -> send(each, message)));
+    replicas.forEach(this::read);
+    operators.forEach(each -> each.step(nowMs, replicas, mayBegin));
+  }
+
+  private void send(SimulatedReplica sender, ReplicaMessage message) {
+    replicas.stream()
+        .filter(each -> each.id().equals(message.getTo()))
+        .forEach(each -> network.send(nowMs, sender.id(), each.id(), message));
+  }
+
+  private void deliver(String from, String to, ReplicaMessage message) {
+    replicas.stream()
+        .filter(each -> each.id().equals(to))
+        .forEach(each -> each.receive(message));
+  }
+
+  /** Reads at every replica that believes that it may answer. */
+  private void read(SimulatedReplica replica) {
+    long nowNanos = TimeUnit.MILLISECONDS.toNanos(nowMs);
+    replica
+        .responsive(nowMs)
+        .filter(each -> each.replica().holdsLease(nowNanos))
+        .ifPresent(each -> invariants.read(each.state().configuration().number()));
+  }
+
+  private void settle() {
+    faults.end(nowMs);
+    long until = nowMs + SETTLE_MS;
+    while (nowMs < until && !isSettled()) {
+      leader().ifPresent(each -> faults.replaceLostReplicas(nowMs, each));
+      step(false);
+    }
+    InvariantViolation.check(isSettled(), () -> "no agreement %d ms after the last fault".formatted(SETTLE_MS));
+  }
+
+  private boolean isSettled() {
+    boolean answered = operators.stream().noneMatch(SimulatedOperator::isWaiting);
+    return answered
+        && leader().isPresent()
+        && replicas.stream().allMatch(each -> hasAll(each))
+        && faults.replacementsFinished();
+  }
+
+  private boolean hasAll(SimulatedReplica each) {
+    long newest = leader().orElseThrow().running().orElseThrow().replica().commitIndex();
+    return each.running().map(SimulatedReplica.Running::replica).map(Replica::appliedIndex)
+        .equals(Optional.of(newest));
+  }
+
+  private Report report() {
+    return new Report(
+        invariants.acceptedChanges(),
+        operators.stream().mapToInt(SimulatedOperator::conflicts).sum(),
+        operators.stream().mapToInt(SimulatedOperator::resends).sum(),
+        invariants.terms(),
+        replicas.stream().mapToInt(SimulatedReplica::crashes).sum(),
+        faults.lostDisks());
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/replica/SimulatedReplica.java
@@ -0,0 +1,172 @@
+package org.waxwingbeam.tools.fakes.replica;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.waxwingbeam.replica.Journal;
+import org.waxwingbeam.replica.Replica;
+import org.waxwingbeam.replica.ReplicaReplacement;
+import org.waxwingbeam.replica.ReplicaRole;
+import org.waxwingbeam.replica.ReplicatedState;
+import org.waxwingbeam.tools.fakes.replica.FakeFolder.SimulatedCrashException;
+import org.waxwingbeam.wire.replica.LogEntry;
+import org.waxwingbeam.wire.replica.ReplicaMember;
+import org.waxwingbeam.wire.replica.ReplicaMessage;
+
+/** One control replica on a fake disk: it can crash, freeze, restart and lose its disk. */
+final class SimulatedReplica {
+  private static final Replica.Options OPTIONS = new Replica.Options(20, 5);
+
+  private final int slot;
+  private final RandomGenerator random;
+  private final ReplicaInvariants invariants;
+  private final List<ReplicaMessage> waiting = new ArrayList<>();
+  private int generation;
+  private FakeFolder folder;
+  private Optional<Running> running = Optional.empty();
+  private int crashPercentOfOperations;
+  private boolean diskFails;
+  private long diskExchangeMs;
+  private long frozenUntilMs;
+  private long restartMs;
+  private int crashes;
+
+  /** What lives as long as the process. */
+  record Running(Replica replica, ReplicatedState state, ReplicaReplacement replacement) {}
+
+  SimulatedReplica(int slot, RandomGenerator random, ReplicaInvariants invariants) {
+    this.slot = slot;
+    this.random = random;
+    this.invariants = invariants;
+    folder = new FakeFolder(this::beforeDiskOperation);
+  }
+
+  private void beforeDiskOperation() throws IOException {
+    if (diskFails) {
+      throw new IOException("no space left");
+    }
+    if (crashPercentOfOperations > 0 && random.nextInt(100) < crashPercentOfOperations) {
+      throw new SimulatedCrashException();
+    }
+  }
+
+  int slot() {
+    return slot;
+  }
+
+  /** Returns the id, which stays the same until the disk is lost. */
+  String id() {
+    return "replica-%d-%d".formatted(slot, generation);
+  }
+
+  ReplicaMember member() {
+    return ReplicaMember.newBuilder()
+        .setId(id())
+        .setHost("127.0.0.1")
+        .setPort(1 + slot)
+        .build();
+  }
+
+  Optional<Running> running() {
+    return running;
+  }
+
+  /** Returns the running process, unless it is frozen. */
+  Optional<Running> responsive(long nowMs) {
+    return nowMs < frozenUntilMs ? Optional.empty() : running;
+  }
+
+  boolean isLeader() {
+    return running.filter(each -> each.replica().role() == ReplicaRole.LEADER).isPresent();
+  }
+
+  int crashes() {
+    return crashes;
+  }
+
+  void setCrashPercentOfOperations(int percent) {
+    crashPercentOfOperations = percent;
+  }
+
+  /** Lets every disk operation fail until the disk is exchanged for an empty one. */
+  void failDisk(long exchangeMs) {
+    diskFails = true;
+    diskExchangeMs = exchangeMs;
+  }
+
+  void freeze(long untilMs) {
+    frozenUntilMs = untilMs;
+  }
+
+  void crash(long nowMs, long downMs) {
+    crashes++;
+    running = Optional.empty();
+    waiting.clear();
+    restartMs = nowMs + downMs;
+    folder.crash(random);
+  }
+
+  /** Comes back with an empty disk under a new id. */
+  void loseDisk(long nowMs, long downMs) {
+    crash(nowMs, downMs);
+    generation++;
+    diskFails = false;
+    folder = new FakeFolder(this::beforeDiskOperation);
+  }
+
+  void receive(ReplicaMessage message) {
+    if (running.isPresent()) {
+      waiting.add(message);
+    }
+  }
+
+  /** Lets the process do its work of one step and returns the messages that it sends. */
+  List<ReplicaMessage> step(long nowMs) {
+    if (nowMs < frozenUntilMs) {
+      return List.of();
+    }
+    if (diskFails && nowMs >= diskExchangeMs) {
+      loseDisk(nowMs, 0);
+    }
+    try {
+      if (running.isEmpty() && nowMs >= restartMs && !diskFails) {
+        start(nowMs);
+      }
+      return running.isPresent() ? work(nowMs, running.get().replica()) : List.of();
+    } catch (SimulatedCrashException crash) {
+      crash(nowMs, 100 + random.nextInt(2_000));
+    } catch (IOException failed) {
+      running = Optional.empty();
+      waiting.clear();
+    }
+    return List.of();
+  }
+
+  private void start(long nowMs) throws IOException {
+    Journal journal = Journal.open(folder, this::id);
+    InvariantViolation.check(journal.replicaId().equals(id()), () -> "replica %s has lost its id".formatted(id()));
+    ReplicatedState state = new ReplicatedState(new NoClaims());
+    Replica replica =
+        new Replica(
+            journal, state, random, OPTIONS, this::applied, TimeUnit.MILLISECONDS.toNanos(nowMs));
+    running = Optional.of(new Running(replica, state, new ReplicaReplacement(replica)));
+  }
+
+  private void applied(LogEntry entry) {
+    invariants.applied(id(), entry);
+  }
+
+  private List<ReplicaMessage> work(long nowMs, Replica replica) throws IOException {
+    long nowNanos = TimeUnit.MILLISECONDS.toNanos(nowMs);
+    List<ReplicaMessage> batch = List.copyOf(waiting);
+    waiting.clear();
+    batch.forEach(message -> replica.receive(nowNanos, message));
+    replica.tick(nowNanos);
+    List<ReplicaMessage> sent = replica.flush(nowNanos);
+    invariants.observe(replica);
+    return sent;
+  }
+}
