--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -1,26 +1,47 @@
 package org.waxwingbeam.tools;
 
 import java.util.List;
+import org.waxwingbeam.control.ClaimTable;
 import org.waxwingbeam.daemon.Command;
 import org.waxwingbeam.daemon.CommandTable;
+import org.waxwingbeam.daemon.DaemonCommand;
 import org.waxwingbeam.daemon.ExitCode;
+import org.waxwingbeam.daemon.control.ControlDaemon;
+import org.waxwingbeam.daemon.entry.EntryDaemon;
+import org.waxwingbeam.daemon.operate.OperateCommand;
+import org.waxwingbeam.settings.SettingsReader;
+import org.waxwingbeam.tools.choice.ChoiceMeasurement;
+import org.waxwingbeam.tools.demo.DemoReportCommand;
 import org.waxwingbeam.tools.load.LoadCommand;
 import org.waxwingbeam.tools.measure.MeasureCommand;
 import org.waxwingbeam.tools.measure.Measurement;
 import org.waxwingbeam.tools.measure.capacity.CapacityMeasurement;
+import org.waxwingbeam.tools.measure.versions.VersionsMeasurement;
 import org.waxwingbeam.tools.standin.TargetCommand;
 
 /** Starts the program with every command: the shipped daemons' and the tools'. */
 public final class Main {
-  private static final List<Measurement> MEASUREMENTS = List.of(new CapacityMeasurement());
+  private static final List<Measurement> MEASUREMENTS =
+      List.of(new ChoiceMeasurement(), new VersionsMeasurement(), new CapacityMeasurement());
+  private static final List<Command> COMMANDS =
+      List.of(
+          new DaemonCommand<>("entry", "serve callers", SettingsReader::entry, EntryDaemon::start),
+          new DaemonCommand<>(
+              "control",
+              "run a control replica",
+              SettingsReader::control,
+              settings -> ControlDaemon.start(settings, new ClaimTable())),
+          new OperateCommand(),
+          new TargetCommand(),
+          new LoadCommand(),
+          new DemoReportCommand(),
+          new MeasureCommand(MEASUREMENTS));
 
   private Main() {}
 
   /** Runs the command line and exits with its code. */
   public static void main(String[] arguments) throws Exception {
-    List<Command> commands =
-        List.of(new TargetCommand(), new LoadCommand(), new MeasureCommand(MEASUREMENTS));
-    CommandTable table = new CommandTable("waxwingbeam", commands);
+    CommandTable table = new CommandTable("waxwingbeam", COMMANDS);
     ExitCode code = table.run(List.of(arguments), System.out, System.err);
     System.exit(code.value());
   }
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/package-info.java
@@ -0,0 +1,2 @@
+/** Holds small fakes at the interfaces, shared by measurements and tests. */
+package org.waxwingbeam.tools.fakes;
