--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/DaemonCommand.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/DaemonCommand.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
@@ -124,16 +125,28 @@
     LogOutput.install(err, level);
     CountDownLatch told = new CountDownLatch(1);
     CountDownLatch closed = new CountDownLatch(1);
+    AtomicBoolean failed = new AtomicBoolean();
     try (AutoCloseable daemon = starter.start(settings)) {
       Runtime.getRuntime().addShutdownHook(new Thread(() -> endAndWait(told, closed), "shutdown"));
+      if (daemon instanceof FailingDaemon failing) {
+        failing.whenFailed(() -> failAndEnd(failed, told));
+      }
       LOG.info("started", "daemon", name);
       told.await();
       LOG.info("stopping", "daemon", name);
+    } catch (IOException unusable) {
+      err.println("waxwingbeam %s: %s".formatted(name, unusable.getMessage()));
+      failed.set(true);
     } finally {
       LOG.info("stopped", "daemon", name);
       closed.countDown();
     }
-    return ExitCode.OK;
+    return failed.get() ? ExitCode.FAILED : ExitCode.OK;
+  }
+
+  private static void failAndEnd(AtomicBoolean failed, CountDownLatch told) {
+    failed.set(true);
+    told.countDown();
   }
 
   private static void endAndWait(CountDownLatch told, CountDownLatch closed) {
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ControlDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ControlDaemon.java
@@ -3,16 +3,20 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.util.HexFormat;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.jboss.logging.Logger;
 import org.waxwingbeam.control.EntryRegistry;
 import org.waxwingbeam.control.EntrySessions;
 import org.waxwingbeam.control.net.EntryStreamServer;
+import org.waxwingbeam.daemon.FailingDaemon;
 import org.waxwingbeam.daemon.TokenFile;
+import org.waxwingbeam.logging.EventLog;
+import org.waxwingbeam.metrics.ControlMetrics;
+import org.waxwingbeam.metrics.net.MetricsServer;
 import org.waxwingbeam.operator.OperatorService;
 import org.waxwingbeam.operator.net.OperatorServer;
 import org.waxwingbeam.replica.ClaimMachine;
@@ -30,14 +34,15 @@
  *
  * <pre>{@code
  * try (ControlDaemon daemon = ControlDaemon.start(settings, claims)) {
- *   daemon.awaitEnd();
+ *   daemon.whenFailed(told::countDown);
+ *   told.await();
  * }
  * }</pre>
  *
  * @since 0.1.0
  */
-public final class ControlDaemon implements AutoCloseable {
-  private static final Logger LOG = Logger.getLogger(ControlDaemon.class);
+public final class ControlDaemon implements FailingDaemon {
+  private static final EventLog LOG = new EventLog(ControlDaemon.class);
   private static final int ID_BYTES = 8;
 
   private final ControlSettings settings;
@@ -50,7 +55,9 @@
   private final OperatorService operators;
   private final EntryStreamServer entryServer;
   private final OperatorServer operatorServer;
-  private volatile Optional<IOException> failure = Optional.empty();
+  private final ControlMetrics metrics;
+  private final MetricsServer metricsServer;
+  private volatile Runnable failureListener = () -> {};
 
   private ControlDaemon(
       ControlSettings settings, ClaimMachine claims, Journal journal, Tokens tokens)
@@ -71,6 +78,9 @@
     sessions =
         new EntrySessions(
             state, host, registry, tokens.processes(), this::redirect, System::currentTimeMillis);
+    PrometheusRegistry registered = new PrometheusRegistry();
+    metrics = new ControlMetrics(registered);
+    metricsServer = MetricsServer.start(settings.metrics(), registered);
     operators = new OperatorService(state, host, registry, System::currentTimeMillis);
     entryServer = new EntryStreamServer(group, settings.entries(), sessions);
     operatorServer =
@@ -78,7 +88,7 @@
             group,
             settings.operators(),
             tokens.operators(),
-            new ReplicaOperations(settings.instance(), state, host, registry, operators));
+            new ReplicaOperations(settings.instance(), state, host, registry, operators, metrics));
   }
 
   private record Tokens(String processes, String operators) {
@@ -98,7 +108,10 @@
     return leader
         .map(
             each ->
-                NotLeader.newBuilder().setLeaderHost(each.host()).setLeaderPort(each.port()).build())
+                NotLeader.newBuilder()
+                    .setLeaderHost(each.host())
+                    .setLeaderPort(each.port())
+                    .build())
         .orElse(NotLeader.getDefaultInstance());
   }
 
@@ -107,7 +120,8 @@
    *
    * @param settings its settings
    * @param claims the claim table
-   * @throws IOException if a credential cannot be read, or the data folder cannot be used or trusted
+   * @throws IOException if a credential cannot be read, or the data folder cannot be used or
+   *     trusted
    */
   public static ControlDaemon start(ControlSettings settings, ClaimMachine claims)
       throws IOException {
@@ -117,13 +131,19 @@
     Journal journal = Journal.open(DiskFolder.open(settings.dataFolder()), ControlDaemon::newId);
     ControlDaemon daemon = new ControlDaemon(settings, claims, journal, tokens);
     daemon.host.start();
-    LOG.infof(
-        "event=control-started instance=%s replica=%s data=%s replicas=%d entries=%d operators=%d",
+    LOG.info(
+        "control-started",
+        "instance",
         settings.instance(),
+        "replica",
         journal.replicaId(),
+        "data",
         settings.dataFolder(),
+        "replicas",
         daemon.replicasPort(),
+        "entries",
         daemon.entriesPort(),
+        "operators",
         daemon.operatorsPort());
     return daemon;
   }
@@ -149,16 +169,9 @@
     return operatorServer.port();
   }
 
-  /**
-   * Waits until the replica has stopped.
-   *
-   * @throws IOException if it has stopped because its disk failed
-   */
-  public void awaitEnd() throws InterruptedException, IOException {
-    group.terminationFuture().sync();
-    if (failure.isPresent()) {
-      throw failure.get();
-    }
+  @Override
+  public void whenFailed(Runnable listener) {
+    failureListener = listener;
   }
 
   @Override
@@ -166,11 +179,12 @@
     operatorServer.close();
     entryServer.close();
     host.close();
+    metricsServer.close();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     try {
       journal.close();
     } catch (IOException failed) {
-      LOG.warnf("event=journal-close-failed reason=\"%s\"", failed.getMessage());
+      LOG.warn("journal-close-failed", "reason", failed.getMessage());
     }
   }
 
@@ -179,9 +193,14 @@
     @Override
     public void leads(long nowNanos) {
       registry.startTerm(nowNanos, state.view());
-      LOG.infof(
-          "event=replica-leads instance=%s replica=%s term=%d",
-          settings.instance(), journal.replicaId(), host.replica().term());
+      LOG.info(
+          "replica-leads",
+          "instance",
+          settings.instance(),
+          "replica",
+          journal.replicaId(),
+          "term",
+          host.replica().term());
     }
 
     @Override
@@ -195,18 +214,26 @@
       if (host.holdsLease(nowNanos)) {
         operators.tick(nowNanos);
       }
+      metrics.observe(
+          new ControlMetrics.ReplicaState(
+              host.replica().term(),
+              host.replica().appliedIndex(),
+              host.holdsLease(nowNanos),
+              state.configuration().number(),
+              sessions.connected()));
     }
 
     @Override
     public void failed(IOException reason) {
-      failure = Optional.of(reason);
-      LOG.errorf(
-          reason,
-          "event=replica-failed instance=%s replica=%s reason=\"%s\"",
+      LOG.error(
+          "replica-failed",
+          "instance",
           settings.instance(),
+          "replica",
           journal.replicaId(),
+          "reason",
           reason.getMessage());
-      group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(done -> {});
+      failureListener.run();
     }
   }
 }
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ReplicaOperations.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ReplicaOperations.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.waxwingbeam.control.EntryRegistry;
+import org.waxwingbeam.metrics.ControlMetrics;
 import org.waxwingbeam.model.InstanceName;
 import org.waxwingbeam.operator.OperatorService;
 import org.waxwingbeam.operator.OperatorService.ChangeOutcome;
@@ -27,23 +28,38 @@
   private final ReplicaHost host;
   private final EntryRegistry registry;
   private final OperatorService operators;
+  private final ControlMetrics metrics;
 
   ReplicaOperations(
       InstanceName instance,
       ReplicatedState state,
       ReplicaHost host,
       EntryRegistry registry,
-      OperatorService operators) {
+      OperatorService operators,
+      ControlMetrics metrics) {
     this.instance = instance;
     this.state = state;
     this.host = host;
     this.registry = registry;
     this.operators = operators;
+    this.metrics = metrics;
   }
 
   @Override
   public void change(ChangeRequest request, Consumer<ChangeOutcome> receiver) {
-    operators.change(request, receiver);
+    operators.change(
+        request,
+        outcome -> {
+          count(outcome);
+          receiver.accept(outcome);
+        });
+  }
+
+  private void count(ChangeOutcome outcome) {
+    switch (outcome) {
+      case ChangeOutcome.Answered answered -> metrics.answered(answered.answer().getResult());
+      case ChangeOutcome.NotLeader none -> metrics.notLeader();
+    }
   }
 
   @Override
--- a/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/control/ControlClusterTest.java
+++ b/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/control/ControlClusterTest.java
@@ -61,7 +61,7 @@
   void start() throws Exception {
     addresses = freeAddresses(3 * REPLICAS);
     for (int each = 0; each < REPLICAS; each++) {
-      start(each);
+      startReplica(each);
     }
     leader();
   }
@@ -75,7 +75,7 @@
   @Test
   void resentChangeGetsItsFirstAnswerFromTheNextLeader() throws Exception {
     ChangeAnswer first = change("c1", 0, "north");
-    stop(leader());
+    stopReplica(leader());
     leader();
 
     assertThat(change("c1", 0, "north")).isEqualTo(first);
@@ -88,7 +88,7 @@
     try (ControlClient entry = client(applied)) {
       entry.start();
       await(entry::isFresh);
-      stop(leader());
+      stopReplica(leader());
       leader();
 
       ChangeAnswer answer = change("c1", 0, "north");
@@ -103,7 +103,7 @@
   void withoutMajorityChangesAreNotAccepted() throws Exception {
     change("c1", 0, "north");
     int last = leader();
-    List.copyOf(daemons.keySet()).stream().filter(each -> each != last).forEach(this::stop);
+    List.copyOf(daemons.keySet()).stream().filter(each -> each != last).forEach(this::stopReplica);
     await(() -> findLeader().isEmpty());
 
     HttpResponse<String> response = post(last, "/changes", request("c2", 1, "south"));
@@ -120,7 +120,7 @@
     final String newId = caughtUpLearner();
     await(() -> replace(lostId, newId).getResult() == ChangeAnswer.Result.ACCEPTED);
 
-    stop(daemons.keySet().stream().filter(each -> each != lost).findFirst().orElseThrow());
+    stopReplica(daemons.keySet().stream().filter(each -> each != lost).findFirst().orElseThrow());
     await(() -> findLeader().isPresent());
 
     assertThat(change("c2", 1, "south").getResult()).isEqualTo(ChangeAnswer.Result.ACCEPTED);
@@ -153,9 +153,9 @@
   }
 
   private void exchangeDisk(int each) throws IOException {
-    stop(each);
+    stopReplica(each);
     deleteFolder(each);
-    start(each);
+    startReplica(each);
   }
 
   private int follower() {
@@ -176,11 +176,11 @@
         .findFirst();
   }
 
-  private void start(int each) throws IOException {
+  private void startReplica(int each) throws IOException {
     daemons.put(each, ControlDaemon.start(settings(each), new ControlDaemonTest.EchoClaims()));
   }
 
-  private void stop(int each) {
+  private void stopReplica(int each) {
     daemons.remove(each).close();
   }
 
@@ -271,8 +271,7 @@
   private ChangeAnswer replace(String oldId, String newId) {
     try {
       String body =
-          JsonFormat.printer()
-              .print(ReplaceReplica.newBuilder().setOldId(oldId).setNewId(newId));
+          JsonFormat.printer().print(ReplaceReplica.newBuilder().setOldId(oldId).setNewId(newId));
       return parse(post(leader(), "/replicas/replace", body), ChangeAnswer.newBuilder()).build();
     } catch (IOException failed) {
       throw new IllegalStateException(failed);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/EntrySessions.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/EntrySessions.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.waxwingbeam.model.InstanceName;
 import org.waxwingbeam.replica.CommandLog;
 import org.waxwingbeam.replica.CommandResult;
 import org.waxwingbeam.replica.ProposalOutcome;
@@ -112,10 +113,21 @@
       log.propose(
           Command.newBuilder().setChangeEntryView(change).build(),
           outcome -> viewChangeProposed = false);
+      change.getRemoveList().forEach(this::endClaims);
     }
     registry.expire(nowNanos);
   }
 
+  /** Lets the running claims of an entry instance that is gone become claims of unknown outcome. */
+  private void endClaims(String entry) {
+    ClaimBatch batch =
+        ClaimBatch.newBuilder()
+            .addCommands(ClaimCodec.encodeEntryGone(new InstanceName(entry)))
+            .setProposedMs(wallMs.getAsLong())
+            .build();
+    log.propose(Command.newBuilder().setClaims(batch).build(), outcome -> {});
+  }
+
   /** Returns how many entry instances are connected. */
   public int connected() {
     return sessions.size();
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/metrics/ControlMetrics.java
@@ -0,0 +1,80 @@
+package org.waxwingbeam.metrics;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Locale;
+import org.waxwingbeam.wire.operator.ChangeAnswer;
+
+/**
+ * Counts what a control replica does.
+ *
+ * @since 0.1.0
+ */
+public final class ControlMetrics {
+  private final Counter changes;
+  private final Gauge term;
+  private final Gauge appliedIndex;
+  private final Gauge leads;
+  private final Gauge configurationNumber;
+  private final Gauge entries;
+
+  /**
+   * Registers the metrics.
+   *
+   * @param registry where they are read
+   */
+  public ControlMetrics(PrometheusRegistry registry) {
+    changes =
+        Counter.builder()
+            .name("waxwingbeam_control_changes_total")
+            .help("Changes that operators sent, by result")
+            .labelNames("result")
+            .register(registry);
+    term = gauge(registry, "term", "Newest term that the replica knows");
+    appliedIndex = gauge(registry, "applied_index", "Last index of the log that was applied");
+    leads = gauge(registry, "leads", "1 while the replica leads and may answer, else 0");
+    configurationNumber =
+        gauge(registry, "configuration_number", "Number of the newest accepted configuration");
+    entries = gauge(registry, "entries", "Entry instances that are connected");
+  }
+
+  private static Gauge gauge(PrometheusRegistry registry, String name, String help) {
+    return Gauge.builder().name("waxwingbeam_control_" + name).help(help).register(registry);
+  }
+
+  /** Counts an answer to an operator's change. */
+  public void answered(ChangeAnswer.Result result) {
+    changes.labelValues(result.name().toLowerCase(Locale.ROOT)).inc();
+  }
+
+  /** Counts a change that was sent to a replica that does not lead. */
+  public void notLeader() {
+    changes.labelValues("not_leader").inc();
+  }
+
+  /**
+   * Notes the present state of the replica.
+   *
+   * @param state the state
+   */
+  public void observe(ReplicaState state) {
+    term.set(state.term());
+    appliedIndex.set(state.appliedIndex());
+    leads.set(state.leads() ? 1 : 0);
+    configurationNumber.set(state.configurationNumber());
+    entries.set(state.entries());
+  }
+
+  /**
+   * The present state of a replica.
+   *
+   * @param term the newest term that it knows
+   * @param appliedIndex the last index of the log that it has applied
+   * @param leads whether it leads and may answer
+   * @param configurationNumber the number of the newest configuration that it holds
+   * @param entries entry instances that are connected to it
+   */
+  public record ReplicaState(
+      long term, long appliedIndex, boolean leads, long configurationNumber, int entries) {}
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/DiskFolder.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/DiskFolder.java
@@ -81,8 +81,7 @@
 
   @Override
   public void truncate(String name, long length) throws IOException {
-    try (FileChannel channel =
-        FileChannel.open(folder.resolve(name), StandardOpenOption.WRITE)) {
+    try (FileChannel channel = FileChannel.open(folder.resolve(name), StandardOpenOption.WRITE)) {
       channel.truncate(length);
       channel.force(true);
     }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Journal.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Journal.java
@@ -13,8 +13,8 @@
 import org.waxwingbeam.wire.replica.LogSnapshot;
 
 /**
- * Keeps a replica's term, vote and log on disk. There is one file at a time: a header, a snapshot to
- * start from, and one record for each sync.
+ * Keeps a replica's term, vote and log on disk. There is one file at a time: a header, a snapshot
+ * to start from, and one record for each sync.
  *
  * <pre>{@code
  * Journal journal = Journal.open(folder, () -> freshId);
@@ -74,8 +74,7 @@
   public static Journal open(ReplicaFolder folder, Supplier<String> newId) throws IOException {
     List<String> names =
         folder.list().stream().filter(name -> name.startsWith(PREFIX)).sorted().toList();
-    Journal journal =
-        names.isEmpty() ? create(folder, newId.get()) : load(folder, names.getLast());
+    Journal journal = names.isEmpty() ? create(folder, newId.get()) : load(folder, names.getLast());
     for (String name : folder.list()) {
       if (!name.equals(journal.fileName())) {
         folder.delete(name);
@@ -185,10 +184,7 @@
    */
   public void restart(JournalBase base) throws IOException {
     JournalHeader header =
-        JournalHeader.newBuilder()
-            .setFormatVersion(FORMAT_VERSION)
-            .setReplicaId(replicaId)
-            .build();
+        JournalHeader.newBuilder().setFormatVersion(FORMAT_VERSION).setReplicaId(replicaId).build();
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     bytes.writeBytes(RecordFormat.encode(JournalRecord.newBuilder().setHeader(header).build()));
     bytes.writeBytes(RecordFormat.encode(JournalRecord.newBuilder().setBase(base).build()));
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/MembershipChange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/MembershipChange.java
@@ -88,8 +88,9 @@
   }
 
   /**
-   * Returns why a replacement would leave too few answering voters, if it would. While both replicas
-   * vote, the answering ones must form a majority; after it, they must be able to lose one more.
+   * Returns why a replacement would leave too few answering voters, if it would. While both
+   * replicas vote, the answering ones must form a majority; after it, they must be able to lose one
+   * more.
    *
    * @param before the membership before
    * @param oldId the voter that leaves
@@ -116,9 +117,6 @@
   }
 
   private static long answering(Membership membership, Predicate<String> answers) {
-    return membership.getVotersList().stream()
-        .map(ReplicaMember::getId)
-        .filter(answers)
-        .count();
+    return membership.getVotersList().stream().map(ReplicaMember::getId).filter(answers).count();
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Replica.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Replica.java
@@ -118,9 +118,7 @@
     }
     disk.enterTerm(1, id);
     disk.append(
-        Command.newBuilder()
-            .setMembership(Membership.newBuilder().addAllVoters(voters))
-            .build());
+        Command.newBuilder().setMembership(Membership.newBuilder().addAllVoters(voters)).build());
   }
 
   /** Returns whether the replica has never belonged to a log. */
@@ -343,7 +341,8 @@
     try {
       do {
         disk.sync();
-        leadership.ifPresent(each -> commitIndex = each.commitIndex(commitIndex, log.syncedIndex()));
+        leadership.ifPresent(
+            each -> commitIndex = each.commitIndex(commitIndex, log.syncedIndex()));
         applyCommitted();
         leadership.ifPresent(each -> each.followMembership(nowNanos));
       } while (disk.isUnsynced());
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaLeadership.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaLeadership.java
@@ -69,8 +69,7 @@
   }
 
   private Stream<String> others(Membership membership) {
-    return Stream.concat(
-            membership.getVotersList().stream(), membership.getLearnersList().stream())
+    return Stream.concat(membership.getVotersList().stream(), membership.getLearnersList().stream())
         .map(ReplicaMember::getId)
         .filter(each -> !each.equals(id));
   }
@@ -103,7 +102,7 @@
 
   private void sendEntries(long nowNanos, String to, ReplicaProgress each, long previous) {
     List<LogEntry> entries = log.slice(each.nextIndex(), MAX_ENTRIES, MAX_ENTRIES_BYTES);
-    send(
+    sendAppend(
         to,
         AppendRequest.newBuilder()
             .setPreviousIndex(previous)
@@ -114,10 +113,10 @@
   }
 
   private void sendBareHeartbeat(long nowNanos, String to) {
-    send(to, AppendRequest.newBuilder().setSentNanos(nowNanos));
+    sendAppend(to, AppendRequest.newBuilder().setSentNanos(nowNanos));
   }
 
-  private void send(String to, AppendRequest.Builder request) {
+  private void sendAppend(String to, AppendRequest.Builder request) {
     outgoing.accept(ReplicaMessage.newBuilder().setTo(to).setAppendRequest(request));
   }
 
@@ -127,9 +126,7 @@
         ReplicaMessage.newBuilder()
             .setTo(to)
             .setSnapshotRequest(
-                SnapshotRequest.newBuilder()
-                    .setSnapshot(snapshots.take())
-                    .setSentNanos(nowNanos)));
+                SnapshotRequest.newBuilder().setSnapshot(snapshots.take()).setSentNanos(nowNanos)));
   }
 
   /** Notes a reply. */
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaLog.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaLog.java
@@ -105,7 +105,7 @@
     if (toIndex <= baseIndex) {
       return;
     }
-    long term = termAt(toIndex);
+    final long term = termAt(toIndex);
     Membership membership = membershipAt(toIndex);
     entries.subList(0, (int) (toIndex - baseIndex)).clear();
     memberships.headMap(toIndex, true).clear();
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaTimings.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaTimings.java
@@ -7,7 +7,9 @@
   /** Pause between two heartbeats of a leader. */
   static final long HEARTBEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-  /** Time without a leader after which a replica may campaign, and before which it gives no vote. */
+  /**
+   * Time without a leader after which a replica may campaign, and before which it gives no vote.
+   */
   static final long ELECTION_MIN_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
   /** Greatest addition to that time, drawn at random so that campaigns do not collide. */
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaHost.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaHost.java
@@ -84,8 +84,7 @@
    * @param settings where it runs
    * @param listener takes what the replica does
    */
-  public ReplicaHost(
-      EventLoopGroup group, Replica replica, Settings settings, Listener listener) {
+  public ReplicaHost(EventLoopGroup group, Replica replica, Settings settings, Listener listener) {
     loop = group.next();
     this.replica = replica;
     this.settings = settings;
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/replica/FakeFolder.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/replica/FakeFolder.java
@@ -14,9 +14,9 @@
 /**
  * A replica's folder in memory that loses, at a crash, what was not synced.
  *
- * <p>Of bytes that were written and not synced, any first part survives, and the last surviving ones
- * may be garbage. Of files created, renamed and deleted since the folder was synced, any first part
- * of these operations survives.
+ * <p>Of bytes that were written and not synced, any first part survives, and the last surviving
+ * ones may be garbage. Of files created, renamed and deleted since the folder was synced, any first
+ * part of these operations survives.
  *
  * @since 0.1.0
  */
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/replica/FakeNetwork.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/replica/FakeNetwork.java
@@ -77,8 +77,7 @@
 
   /** Hands out the messages that have arrived by now. */
   public void deliver(long nowMs, Receiver<M> receiver) {
-    List<InFlight<M>> due =
-        inFlight.stream().filter(each -> each.arrivalMs() <= nowMs).toList();
+    List<InFlight<M>> due = inFlight.stream().filter(each -> each.arrivalMs() <= nowMs).toList();
     inFlight.removeIf(each -> each.arrivalMs() <= nowMs);
     due.stream()
         .filter(each -> !isCut(each.from(), each.to()))
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/replica/ReplicaFaults.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/replica/ReplicaFaults.java
@@ -28,8 +28,7 @@
   private long healMs;
   private int lostDisks;
 
-  ReplicaFaults(
-      RandomGenerator random, FakeNetwork<?> network, List<SimulatedReplica> replicas) {
+  ReplicaFaults(RandomGenerator random, FakeNetwork<?> network, List<SimulatedReplica> replicas) {
     this.random = random;
     this.network = network;
     this.replicas = replicas;
@@ -89,8 +88,7 @@
 
   /** Loses the disk of a voter, if nothing else is being replaced. */
   private void loseDisk(long nowMs, SimulatedReplica victim, Optional<SimulatedReplica> leader) {
-    boolean possible =
-        leader.isPresent() && replacements.isEmpty() && !leader.get().equals(victim);
+    boolean possible = leader.isPresent() && replacements.isEmpty() && !leader.get().equals(victim);
     if (!possible || !isVoter(leader.get(), victim.id())) {
       return;
     }
@@ -120,14 +118,13 @@
     }
   }
 
-  private void replace(
-      long nowMs, SimulatedReplica leader, String lostId, SimulatedReplica fresh) {
+  private void replace(long nowMs, SimulatedReplica leader, String lostId, SimulatedReplica fresh) {
     if (fresh.id().equals(lostId)) {
       return;
     }
     SimulatedReplica.Running leading = leader.running().orElseThrow();
-    boolean fits = fresh.running().map(SimulatedReplica.Running::replica)
-        .map(Replica::isFresh).orElse(false);
+    boolean fits =
+        fresh.running().map(SimulatedReplica.Running::replica).map(Replica::isFresh).orElse(false);
     leading.replacement().admit(fresh.member(), fits);
     if (!isVoter(leader, lostId)) {
       replacements.remove(lostId);
@@ -135,8 +132,7 @@
     }
     leading
         .replacement()
-        .replace(
-            TimeUnit.MILLISECONDS.toNanos(nowMs), lostId, fresh.id(), ReplicaFaults::ignore);
+        .replace(TimeUnit.MILLISECONDS.toNanos(nowMs), lostId, fresh.id(), ReplicaFaults::ignore);
   }
 
   private static void ignore(ProposalOutcome outcome) {}
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/replica/ReplicaInvariants.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/replica/ReplicaInvariants.java
@@ -19,14 +19,19 @@
   void observe(Replica replica) {
     if (replica.role() == ReplicaRole.LEADER) {
       String known = leaders.putIfAbsent(replica.term(), replica.id());
-      InvariantViolation.check(known == null || known.equals(replica.id()), () -> "term %d has two leaders: %s and %s".formatted(replica.term(), known, replica.id()));
+      InvariantViolation.check(
+          known == null || known.equals(replica.id()),
+          () ->
+              "term %d has two leaders: %s and %s".formatted(replica.term(), known, replica.id()));
     }
   }
 
   /** Checks that every replica applies the same entry at an index. */
   void applied(String replica, LogEntry entry) {
     LogEntry known = applied.putIfAbsent(entry.getIndex(), entry);
-    InvariantViolation.check(known == null || known.equals(entry), () -> "replica %s applied another entry at index %d".formatted(replica, entry.getIndex()));
+    InvariantViolation.check(
+        known == null || known.equals(entry),
+        () -> "replica %s applied another entry at index %d".formatted(replica, entry.getIndex()));
   }
 
   /** Returns the highest configuration number that anybody was shown. */
@@ -48,24 +53,31 @@
    */
   void answered(String changeId, ChangeAnswer answer, long floor) {
     ChangeAnswer first = firstAnswers.putIfAbsent(changeId, answer);
-    InvariantViolation.check(first == null || first.equals(answer), () -> "change %s got a second answer %s after %s".formatted(changeId, answer, first));
+    InvariantViolation.check(
+        first == null || first.equals(answer),
+        () -> "change %s got a second answer %s after %s".formatted(changeId, answer, first));
     switch (answer.getResult()) {
       case ACCEPTED -> accepted(changeId, answer.getNumber(), floor);
       case CONFLICT -> seen(answer.getCurrentNumber(), floor);
-      default ->
-          throw new InvariantViolation("change %s got %s".formatted(changeId, answer));
+      default -> throw new InvariantViolation("change %s got %s".formatted(changeId, answer));
     }
   }
 
   private void accepted(String changeId, long number, long floor) {
     String known = acceptedNumbers.putIfAbsent(number, changeId);
-    InvariantViolation.check(known == null || known.equals(changeId), () -> "changes %s and %s were both accepted as number %d".formatted(known, changeId, number));
-    InvariantViolation.check(number > floor, () -> "change %s was accepted as %d after %d was seen".formatted(changeId, number, floor));
+    InvariantViolation.check(
+        known == null || known.equals(changeId),
+        () ->
+            "changes %s and %s were both accepted as number %d".formatted(known, changeId, number));
+    InvariantViolation.check(
+        number > floor,
+        () -> "change %s was accepted as %d after %d was seen".formatted(changeId, number, floor));
     highestSeen = Math.max(highestSeen, number);
   }
 
   private void seen(long number, long floor) {
-    InvariantViolation.check(number >= floor, () -> "number %d was shown after %d".formatted(number, floor));
+    InvariantViolation.check(
+        number >= floor, () -> "number %d was shown after %d".formatted(number, floor));
     highestSeen = Math.max(highestSeen, number);
   }
 
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/replica/ReplicaRun.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/replica/ReplicaRun.java
@@ -108,9 +108,7 @@
   }
 
   private void deliver(String from, String to, ReplicaMessage message) {
-    replicas.stream()
-        .filter(each -> each.id().equals(to))
-        .forEach(each -> each.receive(message));
+    replicas.stream().filter(each -> each.id().equals(to)).forEach(each -> each.receive(message));
   }
 
   /** Reads at every replica that believes that it may answer. */
@@ -129,7 +127,8 @@
       leader().ifPresent(each -> faults.replaceLostReplicas(nowMs, each));
       step(false);
     }
-    InvariantViolation.check(isSettled(), () -> "no agreement %d ms after the last fault".formatted(SETTLE_MS));
+    InvariantViolation.check(
+        isSettled(), () -> "no agreement %d ms after the last fault".formatted(SETTLE_MS));
   }
 
   private boolean isSettled() {
@@ -142,7 +141,9 @@
 
   private boolean hasAll(SimulatedReplica each) {
     long newest = leader().orElseThrow().running().orElseThrow().replica().commitIndex();
-    return each.running().map(SimulatedReplica.Running::replica).map(Replica::appliedIndex)
+    return each.running()
+        .map(SimulatedReplica.Running::replica)
+        .map(Replica::appliedIndex)
         .equals(Optional.of(newest));
   }
 
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/replica/SimulatedOperator.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/replica/SimulatedOperator.java
@@ -88,8 +88,7 @@
     replicas
         .get(random.nextInt(replicas.size()))
         .responsive(nowMs)
-        .ifPresent(
-            each -> each.replica().propose(command, outcome -> receive(attempt, outcome)));
+        .ifPresent(each -> each.replica().propose(command, outcome -> receive(attempt, outcome)));
   }
 
   private void receive(Attempt attempt, ProposalOutcome outcome) {
@@ -105,8 +104,7 @@
   private void finish(Attempt attempt, ChangeAnswer answer) {
     boolean conflict = answer.getResult() == ChangeAnswer.Result.CONFLICT;
     conflicts += conflict ? 1 : 0;
-    knownNumber =
-        Math.max(knownNumber, conflict ? answer.getCurrentNumber() : answer.getNumber());
+    knownNumber = Math.max(knownNumber, conflict ? answer.getCurrentNumber() : answer.getNumber());
     answeredBefore = Optional.of(attempt);
     current = Optional.empty();
   }
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/replica/SimulatedReplica.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/replica/SimulatedReplica.java
@@ -63,11 +63,7 @@
   }
 
   ReplicaMember member() {
-    return ReplicaMember.newBuilder()
-        .setId(id())
-        .setHost("127.0.0.1")
-        .setPort(1 + slot)
-        .build();
+    return ReplicaMember.newBuilder().setId(id()).setHost("127.0.0.1").setPort(1 + slot).build();
   }
 
   Optional<Running> running() {
@@ -147,7 +143,8 @@
 
   private void start(long nowMs) throws IOException {
     Journal journal = Journal.open(folder, this::id);
-    InvariantViolation.check(journal.replicaId().equals(id()), () -> "replica %s has lost its id".formatted(id()));
+    InvariantViolation.check(
+        journal.replicaId().equals(id()), () -> "replica %s has lost its id".formatted(id()));
     ReplicatedState state = new ReplicatedState(new NoClaims());
     Replica replica =
         new Replica(
