A transfer outlives target drain, data centre out and the stop of its entry

Purpose: one test through a control replica and an entry daemon: while a transfer runs, its target drains, its data centre is taken out and the entry stops; new requests are refused as not run, and the transfer arrives whole.

Seen failing first: the second close of an entry daemon failed on ended event loops; the test waits for the control replica to lead before it changes anything.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
@@ -199,7 +199,9 @@
    */
   @Override
   public void close() throws InterruptedException {
-    stopping.set(true);
+    if (stopping.getAndSet(true)) {
+      return;
+    }
     callers.drain();
     long leastNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MIN_DRAIN_MS);
     while (!hurried.get()
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/WholePathTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/WholePathTest.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import com.google.protobuf.ByteString;
 import com.google.protobuf.MessageOrBuilder;
 import com.google.protobuf.util.JsonFormat;
 import java.net.URI;
@@ -12,9 +11,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.waxwingbeam.control.ClaimTable;
 import org.waxwingbeam.daemon.control.ControlDaemon;
 import org.waxwingbeam.daemon.entry.EntryDaemon;
 import org.waxwingbeam.model.Configuration;
@@ -23,7 +24,6 @@
 import org.waxwingbeam.model.Parameters;
 import org.waxwingbeam.model.TargetId;
 import org.waxwingbeam.operator.ConfigurationCodec;
-import org.waxwingbeam.replica.ClaimMachine;
 import org.waxwingbeam.settings.ControlSettings;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.settings.EntrySettings;
@@ -49,7 +49,7 @@
   void requestReachesAnnouncedTargetOnceTheConfigurationIsAccepted() throws Exception {
     Files.writeString(folder.resolve("token"), "token-for-this-test-only");
     try (HostileTarget target = new HostileTarget(RequestPathTest::echoRequestLine);
-        ControlDaemon control = ControlDaemon.start(controlSettings(), new NoClaims());
+        ControlDaemon control = ControlDaemon.start(controlSettings(), new ClaimTable());
         EntryDaemon entry = EntryDaemon.start(entrySettings(control))) {
       assertThat(errorOf(entry)).isEqualTo("isolated");
 
@@ -57,11 +57,59 @@
       awaitReady(entry);
       assertThat(errorOf(entry)).isEqualTo("no-target");
 
-      announce(entry, target.id());
+      announce(entry, target.id(), Announcement.State.WARM);
       assertThat(answer(entry).body()).isEqualTo("GET /listings/one HTTP/1.1");
     }
   }
 
+  @Test
+  void transferOutlivesTargetDrainDataCentreOutAndStopOfTheEntry() throws Exception {
+    Files.writeString(folder.resolve("token"), "token-for-this-test-only");
+    CountDownLatch begun = new CountDownLatch(1);
+    CountDownLatch stopped = new CountDownLatch(1);
+    HostileTarget.Script slow =
+        connection -> {
+          connection.run();
+          connection.write("HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nhalf");
+          begun.countDown();
+          stopped.await();
+          connection.write("half");
+        };
+    try (HostileTarget target = new HostileTarget(slow);
+        ControlDaemon control = ControlDaemon.start(controlSettings(), new ClaimTable());
+        EntryDaemon entry = EntryDaemon.start(entrySettings(control));
+        RawCaller caller = new RawCaller(entry.callers())) {
+      configure(control);
+      awaitReady(entry);
+      announce(entry, target.id(), Announcement.State.WARM);
+      caller.send(REQUEST.replace("listings", "transfers"));
+      begun.await();
+
+      announce(entry, target.id(), Announcement.State.DRAINING);
+      assertThat(errorOf(entry)).isEqualTo("no-target");
+      change(control, 2, Change.newBuilder().setTakeDataCentreOut("north").build());
+      while (!errorOf(entry).equals("data-centre-out")) {
+        Thread.sleep(10);
+      }
+      Thread stop = Thread.ofVirtual().start(() -> close(entry));
+      while (!errorOf(entry).equals("shutting-down")) {
+        Thread.sleep(10);
+      }
+      stopped.countDown();
+
+      assertThat(caller.readAnswer(false).map(RawAnswer::body)).hasValue("halfhalf");
+      stop.join();
+    }
+  }
+
+  private static void close(EntryDaemon entry) {
+    try {
+      entry.close();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static RawAnswer answer(EntryDaemon entry) throws Exception {
     try (RawCaller caller = new RawCaller(entry.callers())) {
       caller.send(REQUEST);
@@ -91,10 +139,16 @@
             .setChange(change)
             .build();
     int status = post(control.operatorsPort(), "/changes", request);
+    while (status == 503) {
+      // The replica has not yet become the leader.
+      Thread.sleep(20);
+      status = post(control.operatorsPort(), "/changes", request);
+    }
     assertThat(status).isEqualTo(200);
   }
 
-  private void announce(EntryDaemon entry, TargetId target) throws Exception {
+  private void announce(EntryDaemon entry, TargetId target, Announcement.State state)
+      throws Exception {
     Announcement announcement =
         Announcement.newBuilder()
             .setService("orders")
@@ -105,7 +159,7 @@
             .setBootId(1)
             .setSlots(4)
             .setColdCapacity(1)
-            .setState(Announcement.State.WARM)
+            .setState(state)
             .setTimeToLiveMs(60_000)
             .build();
     assertThat(post(entry.targets().port(), "/announcements", announcement)).isLessThan(300);
@@ -133,7 +187,15 @@
   private ControlSettings controlSettings() {
     Path token = folder.resolve("token");
     return new ControlSettings(
-        new InstanceName("control-1"), folder, ANY, ANY, ANY, ANY, List.of(ANY), token, token);
+        new InstanceName("control-1"),
+        folder.resolve("data"),
+        ANY,
+        ANY,
+        ANY,
+        ANY,
+        List.of(ANY),
+        token,
+        token);
   }
 
   private EntrySettings entrySettings(ControlDaemon control) {
@@ -151,20 +213,4 @@
         new EntrySettings.ChoiceSettings("least-outstanding"),
         2);
   }
-
-  /** A claim table that is never asked. */
-  private static final class NoClaims implements ClaimMachine {
-    @Override
-    public ByteString apply(ByteString command, long nowMs) {
-      throw new AssertionError("no claim is expected here");
-    }
-
-    @Override
-    public ByteString snapshot() {
-      return ByteString.EMPTY;
-    }
-
-    @Override
-    public void restore(ByteString snapshot) {}
-  }
 }
