--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -24,8 +24,8 @@
 public final class Main {
   private static final List<Measurement> MEASUREMENTS =
       List.of(
-          new ChoiceMeasurement(),
           new RequestMeasurement(),
+          new ChoiceMeasurement(),
           new VersionsMeasurement(),
           new CapacityMeasurement());
   private static final List<Command> COMMANDS =
@@ -39,8 +39,8 @@
           new OperateCommand(),
           new TargetCommand(),
           new LoadCommand(),
-          new ErrorsCommand(),
           new DemoReportCommand(),
+          new ErrorsCommand(),
           new MeasureCommand(MEASUREMENTS));
 
   private Main() {}
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/RetryTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/RetryTest.java
@@ -68,7 +68,7 @@
   }
 
   @Test
-  void requestThatMayHaveRunIsNotCalledUnrunAfterALaterRefusal() throws Exception {
+  void requestThatMayHaveRunIsNotCalledUnrunAfterLaterRefusal() throws Exception {
     try (HostileTarget dying = new HostileTarget(HostileTarget.Connection::run);
         HostileTarget draining = refusing();
         EntryFixture entry = entry(Parameters.NONE, dying, draining)) {
