--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -9,18 +9,23 @@
 import org.waxwingbeam.daemon.control.ControlDaemon;
 import org.waxwingbeam.daemon.entry.EntryDaemon;
 import org.waxwingbeam.daemon.operate.OperateCommand;
+import org.waxwingbeam.logging.LogLevel;
+import org.waxwingbeam.logging.LogOutput;
 import org.waxwingbeam.replica.ClaimMachine;
 import org.waxwingbeam.settings.SettingsReader;
+import org.waxwingbeam.tools.choice.ChoiceMeasurement;
 import org.waxwingbeam.tools.demo.DemoReportCommand;
 import org.waxwingbeam.tools.load.LoadCommand;
 import org.waxwingbeam.tools.measure.MeasureCommand;
 import org.waxwingbeam.tools.measure.Measurement;
 import org.waxwingbeam.tools.measure.capacity.CapacityMeasurement;
+import org.waxwingbeam.tools.path.PathMeasurement;
 import org.waxwingbeam.tools.standin.TargetCommand;
 
 /** Starts the program with every command: the shipped daemons' and the tools'. */
 public final class Main {
-  private static final List<Measurement> MEASUREMENTS = List.of(new CapacityMeasurement());
+  private static final List<Measurement> MEASUREMENTS =
+      List.of(new PathMeasurement(), new ChoiceMeasurement(), new CapacityMeasurement());
   private static final List<Command> COMMANDS =
       List.of(
           new DaemonCommand<>("entry", "serve callers", SettingsReader::entry, EntryDaemon::start),
@@ -39,6 +44,7 @@
 
   /** Runs the command line and exits with its code. */
   public static void main(String[] arguments) throws Exception {
+    LogOutput.install(System.err, LogLevel.WARN);
     CommandTable table = new CommandTable("waxwingbeam", COMMANDS);
     ExitCode code = table.run(List.of(arguments), System.out, System.err);
     System.exit(code.value());
