--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/path/PathFixture.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/path/PathFixture.java
@@ -2,7 +2,6 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
-import com.google.protobuf.ByteString;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -10,13 +9,13 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Set;
+import org.waxwingbeam.control.ClaimTable;
 import org.waxwingbeam.daemon.ExitCode;
 import org.waxwingbeam.daemon.control.ControlDaemon;
 import org.waxwingbeam.daemon.entry.EntryDaemon;
 import org.waxwingbeam.daemon.operate.OperateCommand;
 import org.waxwingbeam.model.DataCentreName;
 import org.waxwingbeam.model.InstanceName;
-import org.waxwingbeam.replica.ClaimMachine;
 import org.waxwingbeam.settings.ControlSettings;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.settings.EntrySettings;
@@ -51,7 +50,7 @@
   PathFixture(int workers, String target) throws Exception {
     folder = Files.createTempDirectory("waxwingbeam-path");
     Path token = Files.writeString(folder.resolve("token"), "token-of-this-measurement");
-    control = ControlDaemon.start(controlSettings(token), new NoClaims());
+    control = ControlDaemon.start(controlSettings(token), new ClaimTable());
     final Set<Long> before = ThreadUsage.idsOf(EVENT_LOOP_PREFIX);
     entry = EntryDaemon.start(entrySettings(token, workers));
     define(token);
@@ -159,20 +158,4 @@
     control.close();
     Files.deleteIfExists(folder.resolve("token"));
   }
-
-  /** Grants no claim; the measured requests need none. */
-  private static final class NoClaims implements ClaimMachine {
-    @Override
-    public ByteString apply(ByteString command, long nowMs) {
-      return ByteString.EMPTY;
-    }
-
-    @Override
-    public ByteString snapshot() {
-      return ByteString.EMPTY;
-    }
-
-    @Override
-    public void restore(ByteString snapshot) {}
-  }
 }
