--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -18,12 +18,14 @@
 import org.waxwingbeam.tools.measure.capacity.CapacityMeasurement;
 import org.waxwingbeam.tools.measure.requests.RequestMeasurement;
 import org.waxwingbeam.tools.measure.versions.VersionsMeasurement;
+import org.waxwingbeam.tools.path.PathMeasurement;
 import org.waxwingbeam.tools.standin.TargetCommand;
 
 /** Starts the program with every command: the shipped daemons' and the tools'. */
 public final class Main {
   private static final List<Measurement> MEASUREMENTS =
       List.of(
+          new PathMeasurement(),
           new RequestMeasurement(),
           new ChoiceMeasurement(),
           new VersionsMeasurement(),
