--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
@@ -83,7 +83,7 @@
             settings.controls(),
             applied,
             this::onConfiguration);
-    DispatchGate gate = new DispatchGate(dispatcher(), System::nanoTime);
+    final DispatchGate gate = new DispatchGate(dispatcher(), System::nanoTime);
     announcements =
         AnnouncementServer.start(
             group,
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/metrics/ControlMetrics.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/metrics/ControlMetrics.java
@@ -59,10 +59,10 @@
    * @param state the state
    */
   public void observe(ReplicaState state) {
-    term.set(state.term());
-    appliedIndex.set(state.appliedIndex());
+    term.set((double) state.term());
+    appliedIndex.set((double) state.appliedIndex());
     leads.set(state.leads() ? 1 : 0);
-    configurationNumber.set(state.configurationNumber());
+    configurationNumber.set((double) state.configurationNumber());
     entries.set(state.entries());
   }
 
