--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Attempt.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Attempt.java
@@ -6,7 +6,7 @@
 /** One attempt at a request, from its arrival until it is refused or completed. */
 final class Attempt {
   private final DispatchRequest request;
-  private final Optional<VersionName> version;
+  private Optional<VersionName> version;
   private final ServiceDispatcher dispatcher;
   private TargetState target;
   private long boundNanos;
@@ -30,6 +30,11 @@
     return version;
   }
 
+  /** Replaces the version that must serve the attempt. */
+  void reselect(Optional<VersionName> other) {
+    version = other;
+  }
+
   ServiceDispatcher dispatcher() {
     return dispatcher;
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Chooser.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Chooser.java
@@ -19,6 +19,9 @@
   /** What a target in another data centre costs more than a local one, in requests under way. */
   private static final double REMOTE_COST = 0.5;
 
+  /** What a cold target costs: it comes first, so that it turns warm. */
+  private static final double COLD_COST = -1;
+
   /** What a target costs for each time that it is as slow as the service is usually. */
   private static final double SLOWNESS_COST = 0.04;
 
@@ -94,7 +97,9 @@
 
   private static boolean isHealthyOrOnTrial(long nowNanos, TargetState target) {
     TargetHealth health = target.health();
-    return !health.isSuspect(nowNanos) || (health.allowsTrial(nowNanos) && target.inFlight() == 0);
+    return target.coldStart().isCold()
+        || !health.isSuspect(nowNanos)
+        || (health.allowsTrial(nowNanos) && target.inFlight() == 0);
   }
 
   private static double expectedLatency(TargetState target) {
@@ -150,7 +155,7 @@
     double bestCost = Double.POSITIVE_INFINITY;
     for (int step = 0; step < size; step++) {
       TargetState other = candidates.get((start + step) % size);
-      if (other.free(nowNanos, level) > 0) {
+      if (other.coldStart().isCold() || other.free(nowNanos, level) > 0) {
         double cost = quotaCost(nowNanos, other, typicalNanos);
         if (cost < bestCost) {
           best = other;
@@ -163,6 +168,9 @@
 
   /** Returns the cost of a target in requests under way. */
   private static double quotaCost(long nowNanos, TargetState target, double typicalNanos) {
+    if (target.coldStart().isCold()) {
+      return COLD_COST;
+    }
     double slowness = typicalNanos > 0 ? target.slownessNanos(nowNanos) / typicalNanos : 0;
     return target.inFlight() + (target.isLocal() ? 0 : REMOTE_COST) + SLOWNESS_COST * slowness;
   }
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/ColdStart.java
@@ -0,0 +1,123 @@
+package org.waxwingbeam.target;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Follows the cold start of one target: who may send to it, how much, and when it is warm.
+ *
+ * <p>A cold target has one owner among the entry instances, which keeps the work under way there
+ * within the cold capacity. After that the limit rises in steps.
+ */
+final class ColdStart {
+  private static final int ANSWERS_TO_WARM = 24;
+  private static final double WARM_FACTOR = 2;
+  private static final double SLOW_FACTOR = 5;
+  private static final int SLOW_ANSWERS = 8;
+  private static final long LONGEST_BURST_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+  private static final int RAMP_STEPS = 4;
+  private static final long RAMP_STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+  private static final long CANCEL_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  private final Deque<Long> occupiedUntil = new ArrayDeque<>();
+  private final Deque<Double> answers = new ArrayDeque<>();
+  private boolean cold = true;
+  private boolean owned;
+  private long ownedFromNanos;
+  private long warmSinceNanos;
+  private int slowAnswers;
+  private long slowSinceNanos;
+
+  boolean isCold() {
+    return cold;
+  }
+
+  /** Sets whether the target is cold; a target that turns warm begins its ramp. */
+  void setCold(long nowNanos, boolean isCold) {
+    if (cold && !isCold) {
+      warmSinceNanos = nowNanos;
+    }
+    if (cold != isCold) {
+      answers.clear();
+      slowAnswers = 0;
+    }
+    cold = isCold;
+  }
+
+  /** Takes the target for warm without a ramp. */
+  void skipRamp() {
+    warmSinceNanos -= RAMP_STEPS * RAMP_STEP_NANOS;
+  }
+
+  /**
+   * Sets whether this entry instance owns the target while it is cold.
+   *
+   * @param fromNanos when it may begin to send, if it does
+   */
+  void setOwned(boolean isOwned, long fromNanos) {
+    if (!owned || !isOwned) {
+      ownedFromNanos = fromNanos;
+    }
+    owned = isOwned;
+  }
+
+  /** Returns how many more requests the owner may send to the cold target. */
+  int free(long nowNanos, int coldCapacity, int inFlight) {
+    if (!owned || nowNanos < ownedFromNanos) {
+      return 0;
+    }
+    return coldCapacity - inFlight - occupied(nowNanos);
+  }
+
+  /** Returns the part of its limit that a warm target gets, in steps up to 1. */
+  double ramp(long nowNanos) {
+    long steps = 1 + (nowNanos - warmSinceNanos) / RAMP_STEP_NANOS;
+    return Math.min(RAMP_STEPS, steps) / (double) RAMP_STEPS;
+  }
+
+  /** Returns when the ramp takes its next step, or the greatest value if it takes none. */
+  long nextStepNanos(long nowNanos) {
+    long passed = nowNanos - warmSinceNanos;
+    return cold || passed >= (RAMP_STEPS - 1) * RAMP_STEP_NANOS
+        ? Long.MAX_VALUE
+        : warmSinceNanos + (passed / RAMP_STEP_NANOS + 1) * RAMP_STEP_NANOS;
+  }
+
+  /** Keeps the place of a request that may go on at the target after its end here. */
+  void occupy(long nowNanos) {
+    occupiedUntil.addLast(nowNanos + CANCEL_GRACE_NANOS);
+  }
+
+  /** Counts an answer of the cold target; returns whether it shows that the target is warm. */
+  boolean showsWarm(double latencyNanos, double typicalNanos) {
+    answers.addLast(latencyNanos);
+    if (answers.size() > ANSWERS_TO_WARM) {
+      answers.removeFirst();
+    }
+    double mean = answers.stream().mapToDouble(Double::doubleValue).average().orElseThrow();
+    return answers.size() == ANSWERS_TO_WARM
+        && (typicalNanos == 0 || mean <= WARM_FACTOR * typicalNanos);
+  }
+
+  /**
+   * Counts an answer of the warm target; returns whether it shows that the target is cold: every
+   * answer for longer than a noisy neighbour's burst was slow.
+   */
+  boolean showsCold(long nowNanos, double latencyNanos, double typicalNanos) {
+    if (typicalNanos == 0 || latencyNanos <= SLOW_FACTOR * typicalNanos) {
+      slowAnswers = 0;
+      return false;
+    }
+    slowSinceNanos = slowAnswers == 0 ? nowNanos : slowSinceNanos;
+    slowAnswers++;
+    return slowAnswers >= SLOW_ANSWERS && nowNanos - slowSinceNanos >= LONGEST_BURST_NANOS;
+  }
+
+  private int occupied(long nowNanos) {
+    while (!occupiedUntil.isEmpty() && occupiedUntil.peekFirst() <= nowNanos) {
+      occupiedUntil.removeFirst();
+    }
+    return occupiedUntil.size();
+  }
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/DispatchSettings.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/DispatchSettings.java
@@ -9,8 +9,14 @@
  * @param self the entry instance
  * @param dataCentre where it runs
  * @param policy how targets are chosen
+ * @param handoverNanos how long a new owner of a cold target waits, once its view is strict, for
+ *     the previous owner's exchanges to end
  * @param seed the seed of random choices
  * @since 0.1.0
  */
 public record DispatchSettings(
-    InstanceName self, DataCentreName dataCentre, ChoicePolicy policy, long seed) {}
+    InstanceName self,
+    DataCentreName dataCentre,
+    ChoicePolicy policy,
+    long handoverNanos,
+    long seed) {}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/EntryDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/EntryDispatcher.java
@@ -37,22 +37,31 @@
    * @param configuration gives the configuration that this entry instance applies
    * @param view gives the live entry instances
    * @param versions selects the version for each attempt
+   * @param warmth which targets are past their cold start, shared with other entry instances
    */
   public EntryDispatcher(
       DispatchSettings settings,
       TargetRegistry registry,
       Supplier<Configuration> configuration,
       Supplier<LeasedEntryView> view,
-      VersionSelector versions) {
+      VersionSelector versions,
+      WarmthTable warmth) {
     this.versions = versions;
-    this.context = new DispatchContext(settings, registry, configuration, view, attempts);
+    this.context =
+        new DispatchContext(
+            settings,
+            registry,
+            configuration,
+            view,
+            versions,
+            warmth,
+            new DataCentreReturns(),
+            attempts);
   }
 
   @Override
   public Decision request(long nowNanos, DispatchRequest request) {
-    Optional<VersionName> version =
-        versions.select(
-            nowNanos, request.service(), request.account(), request.route(), request.idempotent());
+    Optional<VersionName> version = selectVersion(nowNanos, request);
     ServiceDispatcher dispatcher =
         services.computeIfAbsent(request.service(), name -> new ServiceDispatcher(name, context));
     Attempt attempt = new Attempt(request, version, dispatcher);
@@ -62,6 +71,13 @@
     }
   }
 
+  private Optional<VersionName> selectVersion(long nowNanos, DispatchRequest request) {
+    return request.excluded().isEmpty()
+        ? versions.select(
+            nowNanos, request.service(), request.account(), request.route(), request.idempotent())
+        : versions.selectRetry(nowNanos, request.service());
+  }
+
   @Override
   public List<Decision> complete(long nowNanos, Completion completion) {
     Attempt attempt = attempts.remove(completion.attemptId());
@@ -91,6 +107,7 @@
 
   @Override
   public List<Decision> tick(long nowNanos) {
+    context.returns().observe(context.configuration().get());
     return services.values().stream().flatMap(each -> tickIfWaiting(nowNanos, each)).toList();
   }
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Overcommit.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Overcommit.java
@@ -52,7 +52,8 @@
   }
 
   /** Sets this entry instance's part of each target's concurrency limit at every level. */
-  void partition(List<TargetState> targets, List<InstanceName> entries, InstanceName self) {
+  void partition(
+      long nowNanos, List<TargetState> targets, List<InstanceName> entries, InstanceName self) {
     int own = entries.indexOf(self);
     if (factors.length == 0 || own < 0) {
       return;
@@ -63,7 +64,7 @@
     QuotaAllocation allocation = new QuotaAllocation(entries);
     int[] from = new int[size];
     for (int each = 0; each < factors.length; each++) {
-      int[] upTo = limits(targets, factors[each]);
+      int[] upTo = limits(nowNanos, targets, factors[each]);
       int[][] given = allocation.allocate(ids, from, upTo);
       for (int target = 0; target < size; target++) {
         int before = each == 0 ? 0 : quotas[target][each - 1];
@@ -76,9 +77,15 @@
     }
   }
 
-  private static int[] limits(List<TargetState> targets, double factor) {
-    return targets.stream()
-        .mapToInt(each -> (int) Math.round(each.announcement().slots() * factor))
-        .toArray();
+  private static int[] limits(long nowNanos, List<TargetState> targets, double factor) {
+    return targets.stream().mapToInt(each -> limit(nowNanos, each, factor)).toArray();
+  }
+
+  private static int limit(long nowNanos, TargetState target, double factor) {
+    if (target.coldStart().isCold()) {
+      return 0;
+    }
+    double limit = target.announcement().slots() * factor * target.coldStart().ramp(nowNanos);
+    return (int) Math.max(1, Math.round(limit));
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/ServiceDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/ServiceDispatcher.java
@@ -1,14 +1,11 @@
 package org.waxwingbeam.target;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.stream.Collectors;
-import org.waxwingbeam.control.EntryView;
-import org.waxwingbeam.model.Configuration;
 import org.waxwingbeam.model.ErrorKind;
 import org.waxwingbeam.model.InstanceName;
 import org.waxwingbeam.model.ServiceName;
@@ -17,8 +14,8 @@
 import org.waxwingbeam.target.TargetAnnouncement.State;
 
 /**
- * Gives the attempts for one service their targets. Callers hold this object's lock; no other lock
- * of the package is taken within it but the registry's.
+ * Gives the attempts for one service their targets. Callers hold this object's lock; within it only
+ * the locks of the registry, of {@link DataCentreReturns} and of the version selector are taken.
  */
 final class ServiceDispatcher {
   private static final long NO_TARGET_RETRY_MS = 1_000;
@@ -28,14 +25,10 @@
   private final DispatchContext context;
   private final Chooser chooser;
   private final Overcommit overcommit;
+  private final ServiceTargets targets;
   private final TypicalLatency typical = new TypicalLatency();
   private final WaitingQueue queue = new WaitingQueue();
-  private final Map<TargetId, TargetState> states = new HashMap<>();
-  private final Map<Optional<VersionName>, List<TargetState>> usable = new HashMap<>();
   private final List<Decision> undelivered = new ArrayList<>();
-  private List<TargetAnnouncement> announced = List.of();
-  private Configuration configuration = Configuration.EMPTY;
-  private EntryView view = EntryView.EMPTY;
 
   ServiceDispatcher(ServiceName service, DispatchContext context) {
     this.service = service;
@@ -43,11 +36,12 @@
     long seed = context.settings().seed() ^ service.value().hashCode();
     this.chooser = new Chooser(context.settings().policy(), new SplittableRandom(seed));
     this.overcommit = new Overcommit(context.settings().policy());
+    this.targets = new ServiceTargets(service, context, overcommit);
   }
 
   Decision request(long nowNanos, Attempt attempt) {
-    refresh();
-    if (usable(attempt.version()).isEmpty()) {
+    targets.refresh(nowNanos);
+    if (targets.usable(attempt.version()).isEmpty()) {
       return refusal(attempt, ErrorKind.NO_TARGET, NO_TARGET_RETRY_MS);
     }
     if (queue.isEmpty() && tryBind(nowNanos, attempt)) {
@@ -57,14 +51,15 @@
   }
 
   List<Decision> complete(long nowNanos, Attempt attempt, Completion completion) {
-    refresh();
+    targets.refresh(nowNanos);
     attempt.target().ifPresent(target -> noteEnd(nowNanos, attempt, target, completion));
     return assignWaiting(nowNanos);
   }
 
   void noteProbe(long nowNanos, TargetId target, LoadReport report, long latencyNanos) {
-    refresh();
-    Optional.ofNullable(states.get(target))
+    targets.refresh(nowNanos);
+    targets
+        .find(target)
         .ifPresent(
             state -> {
               state.noteReport(nowNanos, report);
@@ -73,15 +68,13 @@
   }
 
   void noteOutstanding(InstanceName entry, Map<TargetId, Integer> outstanding) {
-    refresh();
-    states.forEach(
-        (target, state) -> state.noteElsewhere(entry, outstanding.getOrDefault(target, 0)));
+    targets
+        .all()
+        .forEach(state -> state.noteElsewhere(entry, outstanding.getOrDefault(state.id(), 0)));
   }
 
   Map<TargetId, Integer> outstanding() {
-    refresh();
-    return states.values().stream()
-        .collect(Collectors.toMap(TargetState::id, TargetState::inFlight));
+    return targets.all().stream().collect(Collectors.toMap(TargetState::id, TargetState::inFlight));
   }
 
   void cancel(Attempt attempt) {
@@ -89,7 +82,7 @@
   }
 
   List<Decision> tick(long nowNanos) {
-    refresh();
+    targets.refresh(nowNanos);
     queue
         .removeOverdue(nowNanos)
         .forEach(each -> undelivered.add(refusal(each, ErrorKind.DEADLINE_BEFORE_START, 0)));
@@ -108,10 +101,48 @@
     target.health().note(nowNanos, completion.outcome(), latency, typical.nanos());
     if (completion.outcome() == Outcome.SUCCESS) {
       target.noteLatency(nowNanos, latency);
-      typical.note(latency);
+    }
+    if (target.coldStart().isCold()) {
+      noteEndWhileCold(nowNanos, target, completion);
+    } else {
+      noteEndWhileWarm(nowNanos, target, completion);
+    }
+  }
+
+  private void noteEndWhileCold(long nowNanos, TargetState target, Completion completion) {
+    switch (completion.outcome()) {
+      case SUCCESS -> {
+        boolean answersWarm =
+            target.coldStart().showsWarm(completion.headLatencyNanos(), typical.leastNanos());
+        if (answersWarm && target.announcement().state() == State.WARM) {
+          noteWarmth(target, true);
+        }
+      }
+      case CANCELLED, TIMED_OUT, CONNECTION_LOST -> target.coldStart().occupy(nowNanos);
+      default -> {} // nothing of the request is left at the target
+    }
+  }
+
+  private void noteEndWhileWarm(long nowNanos, TargetState target, Completion completion) {
+    double latency = completion.headLatencyNanos();
+    switch (completion.outcome()) {
+      case SUCCESS -> {
+        if (target.coldStart().showsCold(nowNanos, latency, typical.nanos())) {
+          noteWarmth(target, false);
+        }
+        typical.note(latency);
+      }
+      case REFUSED_COLD -> noteWarmth(target, false);
+      default -> {} // tells nothing about a cold start
     }
   }
 
+  private void noteWarmth(TargetState target, boolean warm) {
+    context
+        .warmth()
+        .note(target.id(), target.announcement().bootId(), warm, targets.configurationNumber());
+  }
+
   private Decision enqueue(Attempt attempt) {
     if (attempt.request().queueLimit() == 0) {
       return refusal(attempt, ErrorKind.OVERLOADED, OVERLOADED_RETRY_MS);
@@ -127,6 +158,7 @@
 
   private List<Decision> assignWaiting(long nowNanos) {
     overcommit.adapt(nowNanos, queue.size());
+    targets.refresh(nowNanos);
     Optional<Attempt> next = queue.poll(each -> tryBind(nowNanos, each));
     while (next.isPresent()) {
       undelivered.add(assignment(next.get()));
@@ -141,7 +173,7 @@
     Optional<TargetState> chosen =
         chooser.choose(
             nowNanos,
-            usable(attempt.version()),
+            admissible(nowNanos, targets.usable(acceptedVersion(nowNanos, attempt))),
             attempt.request().excluded(),
             overcommit.level(),
             typical.nanos());
@@ -153,69 +185,32 @@
     return chosen.isPresent();
   }
 
-  private static Decision assignment(Attempt attempt) {
-    TargetAnnouncement target = attempt.target().orElseThrow().announcement();
-    return new Decision.Assigned(attempt.request().attemptId(), target.target(), target.version());
-  }
-
-  private Decision refusal(Attempt attempt, ErrorKind kind, long retryAfterMs) {
-    context.attempts().remove(attempt.request().attemptId());
-    return new Decision.Refused(attempt.request().attemptId(), kind, retryAfterMs);
-  }
-
-  private void refresh() {
-    List<TargetAnnouncement> latest = context.registry().targets(service);
-    Configuration latestConfiguration = context.configuration().get();
-    EntryView latestView = context.view().get().view();
-    if (latest == announced
-        && latestConfiguration.number() == configuration.number()
-        && latestView.number() == view.number()) {
-      return;
-    }
-    announced = latest;
-    configuration = latestConfiguration;
-    view = latestView;
-    Map<TargetId, TargetState> before = new HashMap<>(states);
-    states.clear();
-    latest.forEach(each -> states.put(each.target(), state(before.get(each.target()), each)));
-    usable.clear();
-    partition();
-  }
-
-  private void partition() {
-    List<InstanceName> entries = view.members().stream().map(EntryView.Member::name).toList();
-    List<TargetState> targets = announced.stream().map(each -> states.get(each.target())).toList();
-    overcommit.partition(targets, entries, context.settings().self());
-    if (context.settings().policy() instanceof ChoicePolicy.FewSenders few) {
-      targets.forEach(each -> each.setPreferred(isSender(each, entries, few.senders())));
+  /** Returns the attempt's version, selected anew if it was stopped while the attempt waited. */
+  private Optional<VersionName> acceptedVersion(long nowNanos, Attempt attempt) {
+    Optional<VersionName> version = attempt.version();
+    if (version.isPresent() && !context.versions().accepts(nowNanos, service, version.get())) {
+      attempt.reselect(context.versions().selectRetry(nowNanos, service));
     }
+    return attempt.version();
   }
 
-  private boolean isSender(TargetState target, List<InstanceName> entries, int senders) {
-    InstanceName self = context.settings().self();
-    long own = RendezvousHash.score(target.id(), self);
-    return entries.stream().filter(each -> RendezvousHash.score(target.id(), each) > own).count()
-        < senders;
-  }
-
-  private TargetState state(TargetState before, TargetAnnouncement latest) {
-    if (before == null || before.announcement().bootId() != latest.bootId()) {
-      return new TargetState(latest, latest.dataCentre().equals(context.settings().dataCentre()));
+  private List<TargetState> admissible(long nowNanos, List<TargetState> usable) {
+    boolean allAdmit = true;
+    for (TargetState target : usable) {
+      allAdmit &= targets.admits(nowNanos, target);
     }
-    before.update(latest);
-    return before;
+    return allAdmit
+        ? usable
+        : usable.stream().filter(target -> targets.admits(nowNanos, target)).toList();
   }
 
-  private List<TargetState> usable(Optional<VersionName> version) {
-    return usable.computeIfAbsent(version, this::findUsable);
+  private static Decision assignment(Attempt attempt) {
+    TargetAnnouncement target = attempt.target().orElseThrow().announcement();
+    return new Decision.Assigned(attempt.request().attemptId(), target.target(), target.version());
   }
 
-  private List<TargetState> findUsable(Optional<VersionName> version) {
-    return announced.stream()
-        .filter(each -> each.state() != State.DRAINING)
-        .filter(each -> !configuration.dataCentresOut().contains(each.dataCentre()))
-        .filter(each -> version.isEmpty() || version.get().equals(each.version()))
-        .map(each -> states.get(each.target()))
-        .toList();
+  private Decision refusal(Attempt attempt, ErrorKind kind, long retryAfterMs) {
+    context.attempts().remove(attempt.request().attemptId());
+    return new Decision.Refused(attempt.request().attemptId(), kind, retryAfterMs);
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/TargetState.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/TargetState.java
@@ -16,6 +16,7 @@
   private final boolean local;
   private final Deque<Long> begun = new ArrayDeque<>();
   private final TargetHealth health = new TargetHealth();
+  private final ColdStart coldStart = new ColdStart();
   private final Map<InstanceName, Integer> outstandingElsewhere = new HashMap<>();
   private TargetAnnouncement announcement;
   private int[] quotas = {Integer.MAX_VALUE};
@@ -126,6 +127,10 @@
     return sum;
   }
 
+  ColdStart coldStart() {
+    return coldStart;
+  }
+
   TargetHealth health() {
     return health;
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/VersionSelector.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/VersionSelector.java
@@ -11,12 +11,14 @@
  *
  * @since 0.1.0
  */
+@FunctionalInterface
 public interface VersionSelector {
   /** Leaves every choice of version open. */
   VersionSelector ANY = (nowNanos, service, account, route, idempotent) -> Optional.empty();
 
   /**
-   * Selects the version for one attempt and counts the attempt towards that version's share.
+   * Selects the version for the first attempt at a request and counts the request towards that
+   * version's share.
    *
    * @param nowNanos the entry's monotonic clock
    * @param service the service
@@ -27,4 +29,26 @@
    */
   Optional<VersionName> select(
       long nowNanos, ServiceName service, AccountName account, RouteName route, boolean idempotent);
+
+  /**
+   * Selects the version for a further attempt at a request. It is never an unproven one.
+   *
+   * @param nowNanos the entry's monotonic clock
+   * @param service the service
+   * @return the version, or empty if any version may serve it
+   */
+  default Optional<VersionName> selectRetry(long nowNanos, ServiceName service) {
+    return Optional.empty();
+  }
+
+  /**
+   * Returns whether an attempt that was given a version and has waited may still be sent to it.
+   *
+   * @param nowNanos the entry's monotonic clock
+   * @param service the service
+   * @param version the version that was selected
+   */
+  default boolean accepts(long nowNanos, ServiceName service, VersionName version) {
+    return true;
+  }
 }
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/EntryDispatcherTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/EntryDispatcherTest.java
@@ -2,12 +2,14 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
+import org.waxwingbeam.control.EntryView;
 import org.waxwingbeam.control.LeasedEntryView;
 import org.waxwingbeam.model.AccountName;
 import org.waxwingbeam.model.Configuration;
@@ -18,6 +20,7 @@
 import org.waxwingbeam.model.ServiceName;
 import org.waxwingbeam.model.TargetId;
 import org.waxwingbeam.model.VersionName;
+import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.target.TargetAnnouncement.State;
 import org.waxwingbeam.target.version.VersionSelector;
 
@@ -28,15 +31,18 @@
   private static final DataCentreName NORTH = new DataCentreName("north");
 
   private final TargetRegistry registry = new TargetRegistry();
+  private final WarmthTable warmth = new WarmthTable(found -> {});
+  private LeasedEntryView view = LeasedEntryView.NONE;
   private Configuration configuration = Configuration.EMPTY;
   private final EntryDispatcher dispatcher =
       new EntryDispatcher(
           new DispatchSettings(
-              SELF, NORTH, new ChoicePolicy.LeastOutstanding(Integer.MAX_VALUE), 1),
+              SELF, NORTH, new ChoicePolicy.LeastOutstanding(Integer.MAX_VALUE), 0, 1),
           registry,
           () -> configuration,
-          () -> LeasedEntryView.NONE,
-          VersionSelector.ANY);
+          () -> view,
+          VersionSelector.ANY,
+          warmth);
 
   @Test
   void serviceWithoutTargetsIsRefusedUnrun() {
@@ -47,6 +53,8 @@
   @Test
   void targetWithFewestRequestsUnderWayIsChosen() {
     registry.announce(0, announcement(9000, State.WARM));
+    warm(9000);
+    warm(9001);
     Decision first = dispatcher.request(0, request(1));
     registry.announce(0, announcement(9001, State.WARM));
 
@@ -54,6 +62,36 @@
     assertThat(dispatcher.request(0, request(2))).isEqualTo(new Decision.Assigned(2, id(9001), V1));
   }
 
+  @Test
+  void ownerSendsOneRequestAtOnceToColdTargetWhileItsViewIsStrict() {
+    view = viewOf(SELF);
+    registry.announce(0, announcement(9000, State.COLD));
+
+    assertThat(dispatcher.request(0, request(1))).isEqualTo(new Decision.Assigned(1, id(9000), V1));
+    assertThat(dispatcher.request(0, request(2))).isEqualTo(new Decision.Queued(2));
+    dispatcher.complete(1, new Completion(1, id(9000), Outcome.SUCCESS, 1, Optional.empty()));
+    assertThat(dispatcher.request(1_000, request(3))).isEqualTo(new Decision.Queued(3));
+  }
+
+  @Test
+  void entryThatDoesNotOwnColdTargetSendsNothingThere() {
+    view = viewOf(new InstanceName("entry-2"));
+    registry.announce(0, announcement(9000, State.COLD));
+
+    assertThat(dispatcher.request(0, request(1))).isEqualTo(new Decision.Queued(1));
+  }
+
+  @Test
+  void refusalThatSaysColdTurnsTargetCold() {
+    registry.announce(0, announcement(9000, State.WARM));
+    warm(9000);
+    dispatcher.request(0, request(1));
+    dispatcher.complete(1, new Completion(1, id(9000), Outcome.REFUSED_COLD, 1, Optional.empty()));
+
+    assertThat(warmth.find(id(9000))).isEqualTo(Optional.of(new Warmth(id(9000), 1, 2, false, 0)));
+    assertThat(dispatcher.request(1, request(2))).isEqualTo(new Decision.Queued(2));
+  }
+
   @Test
   void drainingTargetGetsNothingNew() {
     registry.announce(0, announcement(9000, State.DRAINING));
@@ -76,6 +114,8 @@
   @Test
   void completionIsCountedOnce() {
     registry.announce(0, announcement(9000, State.WARM));
+    warm(9000);
+    warm(9001);
     dispatcher.request(0, request(1));
     Completion completion = new Completion(1, id(9000), Outcome.SUCCESS, 1, Optional.empty());
     dispatcher.complete(1, completion);
@@ -112,6 +152,18 @@
         Set.of());
   }
 
+  private void warm(int port) {
+    warmth.merge(new Warmth(id(port), 1, 1, true, 0));
+  }
+
+  private static LeasedEntryView viewOf(InstanceName... entries) {
+    List<EntryView.Member> members =
+        Arrays.stream(entries)
+            .map(each -> new EntryView.Member(each, NORTH, new Endpoint("127.0.0.1", 7000)))
+            .toList();
+    return new LeasedEntryView(new EntryView(1, members), 0, 1_000);
+  }
+
   private static TargetAnnouncement announcement(int port, State state) {
     return new TargetAnnouncement(SERVICE, id(port), V1, NORTH, 1, 4, 1, state, 10_000);
   }
--- /dev/null
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/WarmthTableTest.java
@@ -0,0 +1,56 @@
+package org.waxwingbeam.target;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.waxwingbeam.model.TargetId;
+
+class WarmthTableTest {
+  private static final TargetId TARGET = new TargetId("127.0.0.1", 9000);
+
+  private final List<Warmth> told = new ArrayList<>();
+  private final WarmthTable table = new WarmthTable(told::add);
+
+  @Test
+  void unknownTargetIsCold() {
+    assertThat(table.isWarm(TARGET, 1, 0)).isFalse();
+  }
+
+  @Test
+  void lowerStartOrGenerationDoesNotReplaceHigherOne() {
+    table.merge(new Warmth(TARGET, 2, 3, false, 0));
+
+    assertThat(table.merge(new Warmth(TARGET, 1, 9, true, 0))).isFalse();
+    assertThat(table.merge(new Warmth(TARGET, 2, 2, true, 0))).isFalse();
+    assertThat(table.isWarm(TARGET, 2, 0)).isFalse();
+  }
+
+  @Test
+  void coldReplacesWarmOfTheSameGeneration() {
+    table.merge(new Warmth(TARGET, 1, 1, true, 0));
+    table.merge(new Warmth(TARGET, 1, 1, false, 0));
+    table.merge(new Warmth(TARGET, 1, 1, true, 0));
+
+    assertThat(table.isWarm(TARGET, 1, 0)).isFalse();
+  }
+
+  @Test
+  void warmBeforeTheReturnOfTheDataCentreIsNotWarmAfterIt() {
+    table.merge(new Warmth(TARGET, 1, 1, true, 4));
+
+    assertThat(table.isWarm(TARGET, 1, 4)).isTrue();
+    assertThat(table.isWarm(TARGET, 1, 5)).isFalse();
+  }
+
+  @Test
+  void findingIsTheNextGenerationAndIsTold() {
+    table.note(TARGET, 1, true, 7);
+    table.note(TARGET, 1, false, 7);
+
+    assertThat(told)
+        .containsExactly(new Warmth(TARGET, 1, 1, true, 7), new Warmth(TARGET, 1, 2, false, 7))
+        .inOrder();
+  }
+}
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -5,6 +5,8 @@
 import org.waxwingbeam.daemon.CommandTable;
 import org.waxwingbeam.daemon.ExitCode;
 import org.waxwingbeam.tools.choice.ChoiceMeasurement;
+import org.waxwingbeam.tools.choice.ColdMeasurement;
+import org.waxwingbeam.tools.choice.DataCentreMeasurement;
 import org.waxwingbeam.tools.load.LoadCommand;
 import org.waxwingbeam.tools.measure.MeasureCommand;
 import org.waxwingbeam.tools.measure.Measurement;
@@ -13,7 +15,12 @@
 
 /** Starts the program with every command: the shipped daemons' and the tools'. */
 public final class Main {
-  private static final List<Measurement> MEASUREMENTS = List.of(new CapacityMeasurement(), new ChoiceMeasurement());
+  private static final List<Measurement> MEASUREMENTS =
+      List.of(
+          new CapacityMeasurement(),
+          new ChoiceMeasurement(),
+          new ColdMeasurement(),
+          new DataCentreMeasurement());
 
   private Main() {}
 
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/choice/ChoiceMeasurement.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/choice/ChoiceMeasurement.java
@@ -27,6 +27,10 @@
   private static final String HEDGED = CHOSEN + "+hedging";
   private static final Hedging HEDGING = new Hedging(TimeUnit.MILLISECONDS.toNanos(25), 0.05, 10);
   private static final List<Integer> LOADS_PERCENT = List.of(50, 70, 85, 95, 120);
+  private static final List<Integer> BRIEF_LOADS_PERCENT = List.of(70, 85, 120);
+  private static final List<ChoiceScenario> SCENARIOS = List.of(ChoiceScenario.values());
+  private static final List<ChoiceScenario> BRIEF_SCENARIOS =
+      List.of(ChoiceScenario.NO_FAULT, ChoiceScenario.SLOW_TARGET);
   private static final int LEAST_BOUND_LOAD_PERCENT = 70;
   private static final long LONG_NANOS = TimeUnit.SECONDS.toNanos(4);
   private static final long BRIEF_NANOS = TimeUnit.MILLISECONDS.toNanos(750);
@@ -45,8 +49,8 @@
   public MeasurementReport run(MeasurementOptions options) {
     List<Table> tables = new ArrayList<>();
     List<Bound> bounds = new ArrayList<>();
-    for (ChoiceScenario scenario : ChoiceScenario.values()) {
-      for (int load : LOADS_PERCENT) {
+    for (ChoiceScenario scenario : options.brief() ? BRIEF_SCENARIOS : SCENARIOS) {
+      for (int load : options.brief() ? BRIEF_LOADS_PERCENT : LOADS_PERCENT) {
         Map<String, FleetRecord> records = compare(options, scenario, load);
         String title = "%s, load %d%%".formatted(scenario.title(), load);
         tables.add(table(title, records, seconds(options)));
@@ -80,7 +84,8 @@
 
   private static double seconds(MeasurementOptions options) {
     long nanos = options.brief() ? BRIEF_NANOS : LONG_NANOS;
-    return options.seeds().count() * (double) nanos / TimeUnit.SECONDS.toNanos(1);
+    long perSeed = nanos + ChoiceRun.SETTLE_NANOS;
+    return options.seeds().count() * (double) perSeed / TimeUnit.SECONDS.toNanos(1);
   }
 
   private static Table table(String title, Map<String, FleetRecord> records, double seconds) {
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/choice/ChoiceRun.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/choice/ChoiceRun.java
@@ -25,7 +25,7 @@
     ChoiceScenario scenario,
     int loadPercent,
     long measuredNanos) {
-  private static final long SETTLE_NANOS = TimeUnit.SECONDS.toNanos(4);
+  static final long SETTLE_NANOS = TimeUnit.SECONDS.toNanos(4);
 
   /** Runs every seed and adds up what callers have seen. */
   FleetRecord run(LongStream seeds) {
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/choice/ColdRun.java
@@ -0,0 +1,100 @@
+package org.waxwingbeam.tools.choice;
+
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import org.waxwingbeam.model.Configuration;
+import org.waxwingbeam.model.DataCentreName;
+import org.waxwingbeam.target.ChoicePolicy;
+import org.waxwingbeam.tools.fakes.FakeEntry.Hedging;
+import org.waxwingbeam.tools.fakes.FakeFleet;
+import org.waxwingbeam.tools.fakes.FakeTarget;
+import org.waxwingbeam.tools.fakes.FleetShape;
+import org.waxwingbeam.tools.fakes.TargetFaults;
+
+/**
+ * Runs a fleet whose targets go cold while entries are cut off, the view of entries changes and a
+ * data centre leaves and returns.
+ */
+final class ColdRun {
+  private static final double LOAD = 0.5;
+  private static final int RESTARTS = 8;
+  private static final int CUTS = 3;
+  private static final int SUDDEN_COLD_STARTS = 6;
+  private static final long FAULTS_FROM_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
+  private static final long FAULTS_UNTIL_NANOS = TimeUnit.MILLISECONDS.toNanos(12_000);
+  private static final long END_NANOS = TimeUnit.SECONDS.toNanos(24);
+  private static final long CUT_NANOS = TimeUnit.SECONDS.toNanos(4);
+  private static final Hedging HEDGING = new Hedging(TimeUnit.MILLISECONDS.toNanos(25), 0.05, 10);
+
+  private final FakeFleet fleet;
+  private final SplittableRandom random;
+
+  ColdRun(FleetShape shape, long seed) {
+    ChoicePolicy policy = ChoicePolicy.named(ChoicePolicy.DEFAULT_NAME).orElseThrow();
+    this.fleet = new FakeFleet(shape, policy, HEDGING, seed);
+    this.random = new SplittableRandom(seed + 1);
+  }
+
+  /** Restarts targets, cuts entries off, and takes a data centre out and in again. */
+  FakeFleet announcedFaults() {
+    fleet.offer(LOAD, 0, END_NANOS);
+    for (int count = 0; count < RESTARTS; count++) {
+      FakeTarget target = anyTarget();
+      fleet.loop().at(anyTime(), () -> fleet.restart(target));
+    }
+    cutEntries();
+    DataCentreName dataCentre = anyTarget().announcement().dataCentre();
+    long out = anyTime();
+    fleet.loop().at(out, () -> fleet.configure(Configurations.out(1, dataCentre)));
+    fleet.loop().at(out + CUT_NANOS, () -> fleet.configure(Configurations.allIn(2)));
+    fleet.loop().runUntil(END_NANOS + CUT_NANOS);
+    return fleet;
+  }
+
+  /** Lets targets go cold without a word. */
+  FakeFleet unannouncedFaults(boolean refusing) {
+    fleet.offer(LOAD, 0, END_NANOS);
+    for (int count = 0; count < SUDDEN_COLD_STARTS; count++) {
+      FakeTarget target = anyTarget();
+      target.breakDown(refusing ? TargetFaults.refusingCold() : TargetFaults.NONE);
+      fleet.loop().at(anyTime(), target::goCold);
+    }
+    fleet.loop().runUntil(END_NANOS + CUT_NANOS);
+    return fleet;
+  }
+
+  private void cutEntries() {
+    for (int count = 0; count < CUTS; count++) {
+      int entry = count * fleet.entries().size() / CUTS + random.nextInt(2);
+      long at = anyTime();
+      fleet.loop().at(at, () -> fleet.cut(entry));
+      fleet.loop().at(at + CUT_NANOS, () -> fleet.heal(entry));
+    }
+  }
+
+  private FakeTarget anyTarget() {
+    return fleet.targets().get(random.nextInt(fleet.targets().size()));
+  }
+
+  private long anyTime() {
+    return random.nextLong(FAULTS_FROM_NANOS, FAULTS_UNTIL_NANOS);
+  }
+
+  /** Builds configurations that differ in the data centres that are out. */
+  static final class Configurations {
+    private Configurations() {}
+
+    static Configuration out(long number, DataCentreName dataCentre) {
+      TreeSet<DataCentreName> out = new TreeSet<>();
+      out.add(dataCentre);
+      return new Configuration(number, new TreeMap<>(), new TreeMap<>(), out, new TreeMap<>());
+    }
+
+    static Configuration allIn(long number) {
+      return new Configuration(
+          number, new TreeMap<>(), new TreeMap<>(), new TreeSet<>(), new TreeMap<>());
+    }
+  }
+}
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/FakeFleet.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/FakeFleet.java
@@ -7,8 +7,8 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.waxwingbeam.control.EntryView;
-import org.waxwingbeam.control.LeasedEntryView;
 import org.waxwingbeam.model.AccountName;
 import org.waxwingbeam.model.Configuration;
 import org.waxwingbeam.model.DataCentreName;
@@ -19,12 +19,10 @@
 import org.waxwingbeam.model.VersionName;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.target.ChoicePolicy;
-import org.waxwingbeam.target.DispatchSettings;
 import org.waxwingbeam.target.EntryDispatcher;
 import org.waxwingbeam.target.TargetAnnouncement;
 import org.waxwingbeam.target.TargetAnnouncement.State;
-import org.waxwingbeam.target.TargetRegistry;
-import org.waxwingbeam.target.version.VersionSelector;
+import org.waxwingbeam.target.Warmth;
 
 /**
  * A fleet of entries with real dispatchers in front of fake targets of one service, on a manual
@@ -49,6 +47,10 @@
   private static final long PROBE_COST_NANOS = TimeUnit.MILLISECONDS.toNanos(6);
   private static final long PROBE_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
   private static final long SHARE_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
+  private static final long SPREAD_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+  private static final long LONGEST_APPLY_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+  private static final long RESTART_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+  private static final long DETECTION_NANOS = TimeUnit.SECONDS.toNanos(1);
   private static final int FIRST_PORT = 9_000;
 
   private final EventLoop loop = new EventLoop();
@@ -56,10 +58,9 @@
   private final SplittableRandom random;
   private final Map<TargetId, FakeTarget> targets = new LinkedHashMap<>();
   private final List<FakeEntry> entries = new ArrayList<>();
-  private final List<EntryDispatcher> dispatchers = new ArrayList<>();
-  private final List<TargetRegistry> registries = new ArrayList<>();
+  private final List<FleetMember> members = new ArrayList<>();
   private final FleetRecord record = new FleetRecord();
-  private final EntryView view;
+  private EntryView view = EntryView.EMPTY;
   private Configuration configuration = Configuration.EMPTY;
 
   /**
@@ -73,10 +74,10 @@
   public FakeFleet(FleetShape shape, ChoicePolicy policy, FakeEntry.Hedging hedging, long seed) {
     this.shape = shape;
     this.random = new SplittableRandom(seed);
-    this.view =
-        new EntryView(1, IntStream.range(0, shape.entries()).mapToObj(this::member).toList());
     IntStream.range(0, shape.targets()).forEach(this::addTarget);
-    view.members().forEach(member -> addEntry(member, policy, hedging));
+    IntStream.range(0, shape.entries()).forEach(each -> addEntry(each, policy, hedging));
+    targets().forEach(target -> members.forEach(each -> each.hear(warm(target))));
+    changeView(List.of());
     loop.every(TimeUnit.MILLISECONDS.toNanos(TIME_TO_LIVE_MS / 3), this::announceAll);
     loop.every(TICK_NANOS, () -> entries.forEach(FakeEntry::tick));
     switch (policy) {
@@ -91,6 +92,11 @@
     return loop;
   }
 
+  /** Returns the requests a second that keep every slot busy on quiet machines. */
+  public double capacityPerSecond() {
+    return shape.capacityPerSecond();
+  }
+
   /** Returns what callers have seen. */
   public FleetRecord record() {
     return record;
@@ -106,19 +112,92 @@
     return entries;
   }
 
-  /** Returns the entries' dispatchers in the order of the entries' names. */
-  public List<EntryDispatcher> dispatchers() {
-    return dispatchers;
+  /** Puts a configuration in force at every entry that is not cut off. */
+  public void configure(Configuration next) {
+    configuration = next;
+    reachable()
+        .forEach(
+            each ->
+                loop.after(random.nextLong(LONGEST_APPLY_NANOS), () -> applyUnlessCut(each, next)));
   }
 
-  /** Returns the live entries. */
-  public EntryView view() {
-    return view;
+  /** Cuts an entry off from control instances and other entries; its lease runs out. */
+  public void cut(int entry) {
+    members.get(entry).setCut(true);
+    loop.after(DETECTION_NANOS, () -> changeView(List.of()));
   }
 
-  /** Puts a configuration in force everywhere. */
-  public void configure(Configuration next) {
-    configuration = next;
+  /** Ends the cut of an entry, which then learns what it has missed. */
+  public void heal(int entry) {
+    FleetMember healed = members.get(entry);
+    healed.setCut(false);
+    healed.apply(configuration);
+    reachable().flatMap(each -> each.warmth().all().stream()).forEach(healed::hear);
+    changeView(List.of());
+  }
+
+  /** Returns whether an entry takes requests: it has a lease and its data centre is not out. */
+  public boolean serves(int entry) {
+    return members.get(entry).serves();
+  }
+
+  /** Starts a target's process anew; it takes requests once its announcement was spread. */
+  public void restart(FakeTarget target) {
+    target.stop();
+    loop.after(
+        RESTART_NANOS,
+        () -> {
+          target.startAnew();
+          announce(target);
+          loop.after(SPREAD_NANOS, target::open);
+        });
+  }
+
+  /** Spreads what an entry has found to the entries that it can reach. */
+  void spread(FleetMember from, Warmth found) {
+    if (from.isCut()) {
+      return;
+    }
+    reachable()
+        .filter(each -> each != from)
+        .forEach(
+            each ->
+                loop.after(
+                    oneWayNanos(from.identity().dataCentre(), each.identity().dataCentre()),
+                    () -> hearUnlessCut(each, found)));
+  }
+
+  private static void applyUnlessCut(FleetMember member, Configuration next) {
+    if (!member.isCut()) {
+      member.apply(next);
+    }
+  }
+
+  private static void hearUnlessCut(FleetMember member, Warmth found) {
+    if (!member.isCut()) {
+      member.hear(found);
+    }
+  }
+
+  /**
+   * Issues the next view of the entries that can be reached. It is strict once every other entry's
+   * lease has run out.
+   */
+  private void changeView(List<FleetMember> without) {
+    List<FleetMember> live = reachable().filter(each -> !without.contains(each)).toList();
+    boolean allConfirm = live.size() == members.size();
+    view = new EntryView(view.number() + 1, live.stream().map(FleetMember::identity).toList());
+    long strictFrom = loop.now() + (allConfirm ? SPREAD_NANOS : FleetMember.LEASE_NANOS);
+    live.forEach(each -> each.applyView(view, strictFrom));
+  }
+
+  private Stream<FleetMember> reachable() {
+    return members.stream().filter(each -> !each.isCut());
+  }
+
+  private static Warmth warm(FakeTarget target) {
+    TargetAnnouncement announcement = target.announcement();
+    return new Warmth(announcement.target(), announcement.bootId(), 1, true, 0);
   }
 
   /** Returns the target with an address. */
@@ -151,11 +230,17 @@
     loop.after(
         gap,
         () -> {
-          entries.get(entryIndex(unevenness)).arrive(SERVICE, ACCOUNT, ROUTE);
+          arrive(entryIndex(unevenness));
           arriveAfterGap(meanGapNanos, unevenness, untilNanos);
         });
   }
 
+  private void arrive(int entry) {
+    if (serves(entry)) {
+      entries.get(entry).arrive(SERVICE, ACCOUNT, ROUTE);
+    }
+  }
+
   private int entryIndex(double unevenness) {
     int size = entries.size();
     while (true) {
@@ -170,7 +255,7 @@
   /** Lets one entry probe one target, so that the probes of the whole fleet keep the budget. */
   private void probe() {
     FakeTarget target = targets().get(random.nextInt(targets.size()));
-    EntryDispatcher prober = dispatchers.get(random.nextInt(dispatchers.size()));
+    EntryDispatcher prober = members.get(random.nextInt(members.size())).dispatcher();
     record.noteProbe(PROBE_COST_NANOS);
     loop.after(
         PROBE_COST_NANOS,
@@ -185,17 +270,17 @@
 
   /** Lets every entry tell the others how many requests it has under way. */
   private void share() {
-    for (int from = 0; from < dispatchers.size(); from++) {
-      Map<TargetId, Integer> outstanding = dispatchers.get(from).outstanding(SERVICE);
-      InstanceName sender = view.members().get(from).name();
-      for (int to = 0; to < dispatchers.size(); to++) {
-        EntryDispatcher receiver = dispatchers.get(to);
-        if (to != from) {
-          loop.after(
-              oneWayNanos(dataCentre(from), dataCentre(to)),
-              () -> receiver.noteOutstanding(SERVICE, sender, outstanding));
-        }
-      }
+    for (FleetMember from : members) {
+      Map<TargetId, Integer> outstanding = from.dispatcher().outstanding(SERVICE);
+      members.stream()
+          .filter(each -> each != from)
+          .forEach(
+              each ->
+                  loop.after(
+                      oneWayNanos(from.identity().dataCentre(), each.identity().dataCentre()),
+                      () ->
+                          each.dispatcher()
+                              .noteOutstanding(SERVICE, from.identity().name(), outstanding)));
     }
   }
 
@@ -226,26 +311,18 @@
     targets.put(id, new FakeTarget(loop, random.split(), announcement, shape.quiet()));
   }
 
-  private void addEntry(EntryView.Member member, ChoicePolicy policy, FakeEntry.Hedging hedging) {
-    TargetRegistry registry = new TargetRegistry();
-    EntryDispatcher dispatcher =
-        new EntryDispatcher(
-            new DispatchSettings(member.name(), member.dataCentre(), policy, random.nextLong()),
-            registry,
-            () -> configuration,
-            () -> new LeasedEntryView(view, 0, Long.MAX_VALUE / 2),
-            VersionSelector.ANY);
-    registries.add(registry);
-    dispatchers.add(dispatcher);
-    entries.add(new FakeEntry(loop, member.dataCentre(), dispatcher, this, hedging));
+  private void addEntry(int index, ChoicePolicy policy, FakeEntry.Hedging hedging) {
+    FleetMember member = new FleetMember(this, member(index), policy, random.nextLong());
+    members.add(member);
+    entries.add(new FakeEntry(loop, dataCentre(index), member.dispatcher(), this, hedging));
   }
 
   private void announceAll() {
-    for (TargetRegistry registry : registries) {
-      targets.values().stream()
-          .filter(FakeTarget::isUp)
-          .forEach(target -> registry.announce(loop.now(), target.announcement()));
-      registry.expire(loop.now());
-    }
+    targets.values().stream().filter(FakeTarget::isUp).forEach(this::announce);
+    members.forEach(each -> each.registry().expire(loop.now()));
+  }
+
+  private void announce(FakeTarget target) {
+    members.forEach(each -> each.registry().announce(loop.now(), target.announcement()));
   }
 }
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/FakeTarget.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/FakeTarget.java
@@ -36,12 +36,18 @@
   private final NoisyNeighbour neighbour;
   private final Deque<Job> waiting = new ArrayDeque<>();
   private final Set<Job> running = new LinkedHashSet<>();
+  private final Set<Job> residual = new LinkedHashSet<>();
   private TargetAnnouncement announcement;
   private TargetFaults faults = TargetFaults.NONE;
   private boolean up = true;
   private boolean cold;
   private int warmUpJobsLeft;
   private int mostRunningCold;
+  private int coldExcesses;
+  private long longestExcessNanos;
+  private long coldSince;
+  private long firstExcess = -1;
+  private long residualEnd;
   private long served;
   private long lastStart = Long.MIN_VALUE;
   private LoadReport laggingReport = new LoadReport(0, 0, 0);
@@ -86,6 +92,19 @@
     return mostRunningCold;
   }
 
+  /** Returns how many requests were begun above the cold capacity. */
+  public int coldExcesses() {
+    return coldExcesses;
+  }
+
+  /**
+   * Returns the longest time to a request above the cold capacity from the first such request, or
+   * from the end of the last one that was under way when the target turned cold.
+   */
+  public long longestExcessNanos() {
+    return longestExcessNanos;
+  }
+
   /** Puts faults in force. */
   public void breakDown(TargetFaults next) {
     faults = next;
@@ -106,10 +125,9 @@
     lost.forEach(job -> job.end(Outcome.CONNECTION_LOST, report()));
   }
 
-  /** Starts its process anew, cold, with the next boot id. */
-  public void restart() {
+  /** Starts its process anew, cold, with the next boot id; it takes no requests yet. */
+  public void startAnew() {
     stop();
-    up = true;
     TargetAnnouncement old = announcement;
     announcement =
         new TargetAnnouncement(
@@ -125,11 +143,20 @@
     goCold();
   }
 
+  /** Begins to take requests. */
+  public void open() {
+    up = true;
+  }
+
   /** Loses what makes it warm, without a word to anyone. */
   public void goCold() {
     cold = true;
+    coldSince = loop.now();
+    residual.clear();
+    residual.addAll(running);
+    residual.addAll(waiting);
+    residualEnd = loop.now();
     warmUpJobsLeft = WARM_UP_JOBS;
-    mostRunningCold = 0;
   }
 
   /**
@@ -150,6 +177,7 @@
     } else if (waiting.size() >= QUEUE_LIMIT) {
       job.end(Outcome.REFUSED_OVERLOADED, report());
     } else if (cold && faults.refusesCold() && running.size() >= announcement.coldCapacity()) {
+      noteExcess();
       job.end(Outcome.REFUSED_COLD, report());
     } else {
       admit(job);
@@ -169,11 +197,29 @@
     running.add(job);
     served++;
     lastStart = loop.now();
-    mostRunningCold = cold ? Math.max(mostRunningCold, running.size()) : mostRunningCold;
+    if (cold) {
+      noteColdStart();
+    }
     long work = (long) (-Math.log(1 - random.nextDouble()) * MEAN_SERVICE_NANOS * slowdown(job));
     loop.at(neighbour.endOf(loop.now(), work), () -> finish(job));
   }
 
+  private void noteColdStart() {
+    mostRunningCold = Math.max(mostRunningCold, running.size());
+    if (running.size() > announcement.coldCapacity()) {
+      coldExcesses++;
+      noteExcess();
+    }
+  }
+
+  private void noteExcess() {
+    if (firstExcess < coldSince) {
+      firstExcess = loop.now();
+    }
+    long noticeable = Math.max(firstExcess, residualEnd);
+    longestExcessNanos = Math.max(longestExcessNanos, loop.now() - noticeable);
+  }
+
   private double slowdown(Job job) {
     double factor = faults.slowdown(job.route, running.size(), announcement.slots());
     if (!cold) {
@@ -187,6 +233,9 @@
     if (!running.remove(job)) {
       return;
     }
+    if (residual.remove(job)) {
+      residualEnd = loop.now();
+    }
     release();
     boolean failed = faults.failsSlowly(random, job.route, running.size(), announcement.slots());
     job.end(failed ? Outcome.FAILURE : Outcome.SUCCESS, report());
@@ -194,7 +243,8 @@
 
   private void release() {
     warmUp();
-    while (!waiting.isEmpty() && running.size() < announcement.slots()) {
+    int limit = cold ? announcement.coldCapacity() : announcement.slots();
+    while (!waiting.isEmpty() && running.size() < limit) {
       start(waiting.removeFirst());
     }
   }
--- /dev/null
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/FleetMember.java
@@ -0,0 +1,97 @@
+package org.waxwingbeam.tools.fakes;
+
+import java.util.concurrent.TimeUnit;
+import org.waxwingbeam.control.EntryView;
+import org.waxwingbeam.control.LeasedEntryView;
+import org.waxwingbeam.model.Configuration;
+import org.waxwingbeam.target.ChoicePolicy;
+import org.waxwingbeam.target.DispatchSettings;
+import org.waxwingbeam.target.EntryDispatcher;
+import org.waxwingbeam.target.TargetRegistry;
+import org.waxwingbeam.target.Warmth;
+import org.waxwingbeam.target.WarmthTable;
+import org.waxwingbeam.target.version.VersionSelector;
+
+/** The state of one entry of a fake fleet: what it has heard and what its leases are. */
+final class FleetMember {
+  /** How long a lease holds after its last renewal. */
+  static final long LEASE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+  private static final long HANDOVER_NANOS = TimeUnit.SECONDS.toNanos(2);
+  private static final long NOT_CUT = Long.MAX_VALUE;
+
+  private final EventLoop loop;
+  private final EntryView.Member identity;
+  private final TargetRegistry registry = new TargetRegistry();
+  private final WarmthTable warmth;
+  private final EntryDispatcher dispatcher;
+  private EntryView view;
+  private long strictFromNanos;
+  private long cutAtNanos = NOT_CUT;
+  private Configuration configuration = Configuration.EMPTY;
+
+  FleetMember(FakeFleet fleet, EntryView.Member identity, ChoicePolicy policy, long seed) {
+    this.loop = fleet.loop();
+    this.identity = identity;
+    this.view = EntryView.EMPTY;
+    this.warmth = new WarmthTable(found -> fleet.spread(this, found));
+    this.dispatcher =
+        new EntryDispatcher(
+            new DispatchSettings(
+                identity.name(), identity.dataCentre(), policy, HANDOVER_NANOS, seed),
+            registry,
+            () -> configuration,
+            this::leased,
+            VersionSelector.ANY,
+            warmth);
+  }
+
+  EntryView.Member identity() {
+    return identity;
+  }
+
+  TargetRegistry registry() {
+    return registry;
+  }
+
+  EntryDispatcher dispatcher() {
+    return dispatcher;
+  }
+
+  WarmthTable warmth() {
+    return warmth;
+  }
+
+  boolean isCut() {
+    return cutAtNanos != NOT_CUT;
+  }
+
+  /** Cuts the entry off from control instances and other entries, or ends the cut. */
+  void setCut(boolean cut) {
+    cutAtNanos = cut ? loop.now() : NOT_CUT;
+  }
+
+  /** Returns whether its lease holds and its data centre is not out, as far as it knows. */
+  boolean serves() {
+    boolean leaseHolds = !isCut() || loop.now() < cutAtNanos + LEASE_NANOS;
+    return leaseHolds && !configuration.dataCentresOut().contains(identity.dataCentre());
+  }
+
+  void applyView(EntryView next, long strictFrom) {
+    view = next;
+    strictFromNanos = strictFrom;
+  }
+
+  void apply(Configuration next) {
+    configuration = next.number() > configuration.number() ? next : configuration;
+  }
+
+  void hear(Warmth found) {
+    warmth.merge(found);
+  }
+
+  private LeasedEntryView leased() {
+    long renewedAt = isCut() ? cutAtNanos : loop.now();
+    return new LeasedEntryView(view, strictFromNanos, renewedAt + LEASE_NANOS);
+  }
+}
