--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/peer/WarmthRecords.java
@@ -0,0 +1,56 @@
+package org.waxwingbeam.peer;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.target.Warmth;
+
+/**
+ * Converts between {@link Warmth} and the records that entry instances share.
+ *
+ * @since 0.1.0
+ */
+public final class WarmthRecords {
+  private static final long TIME_TO_LIVE_MS = TimeUnit.DAYS.toMillis(30);
+
+  private WarmthRecords() {}
+
+  /** Returns the record to share. Of one generation, cold replaces warm. */
+  public static SoftRecord toRecord(Warmth warmth) {
+    org.waxwingbeam.wire.peer.Warmth value =
+        org.waxwingbeam.wire.peer.Warmth.newBuilder()
+            .setHost(warmth.target().host())
+            .setPort(warmth.target().port())
+            .setGeneration(warmth.generation())
+            .setWarm(warmth.warm())
+            .setConfiguration(warmth.configuration())
+            .build();
+    return new SoftRecord(
+        SoftRecord.Kind.WARMTH,
+        warmth.target().toString(),
+        warmth.bootId(),
+        2 * warmth.generation() + (warmth.warm() ? 0 : 1),
+        value.toByteString(),
+        TIME_TO_LIVE_MS);
+  }
+
+  /** Reads a shared record; empty if it is of another kind or malformed. */
+  public static Optional<Warmth> fromRecord(SoftRecord record) {
+    if (record.kind() != SoftRecord.Kind.WARMTH) {
+      return Optional.empty();
+    }
+    try {
+      var value = org.waxwingbeam.wire.peer.Warmth.parseFrom(record.value());
+      return Optional.of(
+          new Warmth(
+              new TargetId(value.getHost(), value.getPort()),
+              record.bootId(),
+              value.getGeneration(),
+              value.getWarm(),
+              value.getConfiguration()));
+    } catch (InvalidProtocolBufferException | IllegalArgumentException malformed) {
+      return Optional.empty();
+    }
+  }
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/ColdStart.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/ColdStart.java
@@ -12,6 +12,7 @@
  */
 final class ColdStart {
   private static final int ANSWERS_TO_WARM = 24;
+  private static final long UNCONTESTED_NANOS = TimeUnit.SECONDS.toNanos(3);
   private static final double WARM_FACTOR = 2;
   private static final double SLOW_FACTOR = 5;
   private static final int SLOW_ANSWERS = 8;
@@ -26,6 +27,7 @@
   private boolean owned;
   private long ownedFromNanos;
   private long warmSinceNanos;
+  private long coldSinceNanos = Long.MIN_VALUE / 2;
   private int slowAnswers;
   private long slowSinceNanos;
 
@@ -38,6 +40,9 @@
     if (cold && !isCold) {
       warmSinceNanos = nowNanos;
     }
+    if (!cold && isCold) {
+      coldSinceNanos = nowNanos;
+    }
     if (cold != isCold) {
       answers.clear();
       slowAnswers = 0;
@@ -45,11 +50,6 @@
     cold = isCold;
   }
 
-  /** Takes the target for warm without a ramp. */
-  void skipRamp() {
-    warmSinceNanos -= RAMP_STEPS * RAMP_STEP_NANOS;
-  }
-
   /**
    * Sets whether this entry instance owns the target while it is cold.
    *
@@ -95,9 +95,8 @@
     if (answers.size() > ANSWERS_TO_WARM) {
       answers.removeFirst();
     }
-    double mean = answers.stream().mapToDouble(Double::doubleValue).average().orElseThrow();
     return answers.size() == ANSWERS_TO_WARM
-        && (typicalNanos == 0 || mean <= WARM_FACTOR * typicalNanos);
+        && (typicalNanos == 0 || mean() <= WARM_FACTOR * typicalNanos);
   }
 
   /**
@@ -114,6 +113,22 @@
     return slowAnswers >= SLOW_ANSWERS && nowNanos - slowSinceNanos >= LONGEST_BURST_NANOS;
   }
 
+  /**
+   * Returns whether this entry instance has owned the cold target for a while in which no answer
+   * spoke against its being warm.
+   */
+  boolean isLongUncontested(long nowNanos, double typicalNanos) {
+    long since = Math.max(coldSinceNanos, ownedFromNanos);
+    return cold
+        && owned
+        && nowNanos - since >= UNCONTESTED_NANOS
+        && (answers.isEmpty() || typicalNanos == 0 || mean() <= WARM_FACTOR * typicalNanos);
+  }
+
+  private double mean() {
+    return answers.stream().mapToDouble(Double::doubleValue).average().orElse(0);
+  }
+
   private int occupied(long nowNanos) {
     while (!occupiedUntil.isEmpty() && occupiedUntil.peekFirst() <= nowNanos) {
       occupiedUntil.removeFirst();
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/EntryDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/EntryDispatcher.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.waxwingbeam.control.LeasedEntryView;
@@ -24,8 +25,11 @@
  * @since 0.1.0
  */
 public final class EntryDispatcher implements Dispatcher {
+  private static final long SWEEP_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
   private final VersionSelector versions;
   private final DispatchContext context;
+  private volatile long lastSweepNanos = Long.MIN_VALUE / 2;
   private final ConcurrentMap<Long, Attempt> attempts = new ConcurrentHashMap<>();
   private final ConcurrentMap<ServiceName, ServiceDispatcher> services = new ConcurrentHashMap<>();
 
@@ -108,6 +112,10 @@
   @Override
   public List<Decision> tick(long nowNanos) {
     context.returns().observe(context.configuration().get());
+    if (nowNanos - lastSweepNanos >= SWEEP_NANOS) {
+      lastSweepNanos = nowNanos;
+      context.registry().services().forEach(each -> sweep(nowNanos, each));
+    }
     return services.values().stream().flatMap(each -> tickIfWaiting(nowNanos, each)).toList();
   }
 
@@ -155,6 +163,13 @@
     }
   }
 
+  private void sweep(long nowNanos, ServiceName service) {
+    ServiceDispatcher dispatcher = dispatcher(service);
+    synchronized (dispatcher) {
+      dispatcher.sweep(nowNanos);
+    }
+  }
+
   private ServiceDispatcher dispatcher(ServiceName service) {
     return services.computeIfAbsent(service, name -> new ServiceDispatcher(name, context));
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/ServiceDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/ServiceDispatcher.java
@@ -89,6 +89,17 @@
     return assignWaiting(nowNanos);
   }
 
+  /** Declares the cold targets warm that this entry owns and that nothing speaks against. */
+  void sweep(long nowNanos) {
+    targets.refresh(nowNanos);
+    targets.all().stream()
+        .filter(each -> each.announcement().state() == State.WARM)
+        .filter(each -> targets.isStrict())
+        .filter(each -> each.coldStart().isLongUncontested(nowNanos, typical.leastNanos()))
+        .toList()
+        .forEach(each -> noteWarmth(each, true));
+  }
+
   /** Returns whether decisions may become final without a new request or completion. */
   boolean isWaiting() {
     return !queue.isEmpty() || !undelivered.isEmpty();
@@ -112,8 +123,8 @@
   private void noteEndWhileCold(long nowNanos, TargetState target, Completion completion) {
     switch (completion.outcome()) {
       case SUCCESS -> {
-        boolean answersWarm =
-            target.coldStart().showsWarm(completion.headLatencyNanos(), typical.leastNanos());
+        double latency = completion.headLatencyNanos();
+        boolean answersWarm = target.coldStart().showsWarm(latency, typical.leastNanos());
         if (answersWarm && target.announcement().state() == State.WARM) {
           noteWarmth(target, true);
         }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/ServiceTargets.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/ServiceTargets.java
@@ -79,6 +79,11 @@
     return usable.computeIfAbsent(version, this::findUsable);
   }
 
+  /** Returns whether this entry instance may act strictly on its view of entry instances. */
+  boolean isStrict() {
+    return strict;
+  }
+
   /** Returns the number of the configuration that applies. */
   long configurationNumber() {
     return configuration.number();
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/WarmthTable.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/WarmthTable.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.waxwingbeam.model.TargetId;
@@ -32,16 +33,17 @@
 
   /** Takes a record from another entry instance; returns whether it replaced what was known. */
   public boolean merge(Warmth received) {
-    Warmth after =
-        records.merge(
-            received.target(),
-            received,
-            (known, offered) -> offered.supersedes(known) ? offered : known);
-    if (after == received) {
+    AtomicBoolean replaced = new AtomicBoolean();
+    records.compute(
+        received.target(),
+        (target, known) -> {
+          replaced.set(known == null || received.supersedes(known));
+          return replaced.get() ? received : known;
+        });
+    if (replaced.get()) {
       changes.incrementAndGet();
-      return true;
     }
-    return false;
+    return replaced.get();
   }
 
   /** Returns every record. */
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/ColdStartTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/ColdStartTest.java
@@ -53,7 +53,7 @@
   @Test
   void answersThatAreSlowForLongerThanOneBurstShowCold() {
     start.setCold(0, false);
-    IntStream.range(0, 10).forEach(each -> start.showsCold(each * 90 * MS, 6 * TYPICAL, TYPICAL));
+    IntStream.range(0, 10).forEach(each -> start.showsCold(each * 90L * MS, 6 * TYPICAL, TYPICAL));
 
     assertThat(start.showsCold(999 * MS, 6 * TYPICAL, TYPICAL)).isFalse();
     assertThat(start.showsCold(1_000 * MS, 6 * TYPICAL, TYPICAL)).isTrue();
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/FakeTarget.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/FakeTarget.java
@@ -216,7 +216,8 @@
     if (firstExcess < coldSince) {
       firstExcess = loop.now();
     }
-    long noticeable = Math.max(firstExcess, residualEnd);
+    long earlierWorkEnd = residual.isEmpty() ? residualEnd : loop.now();
+    long noticeable = Math.max(firstExcess, earlierWorkEnd);
     longestExcessNanos = Math.max(longestExcessNanos, loop.now() - noticeable);
   }
 
@@ -299,6 +300,9 @@
         return;
       }
       cancelled = true;
+      if (residual.remove(this)) {
+        residualEnd = loop.now();
+      }
       if (running.remove(this)) {
         release();
       } else {
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/package-info.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/package-info.java
@@ -1,2 +1,2 @@
-/** Small fakes of targets and entries on a manual clock, for measurements and tests. */
+/** Holds small fakes at the interfaces, shared by measurements and tests. */
 package org.waxwingbeam.tools.fakes;
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/standin/AnswerWriter.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/standin/AnswerWriter.java
@@ -55,7 +55,7 @@
   static void truncate(StandInTarget target, Exchange exchange) {
     target.finished(exchange, "truncated");
     ByteBuf half = Unpooled.copiedBuffer(exchange.text(), UTF_8);
-    HttpResponse head = head(target, HttpResponseStatus.OK);
+    HttpResponse head = head(target, exchange, HttpResponseStatus.OK);
     head.headers()
         .set(HttpHeaderNames.CONTENT_LENGTH, half.readableBytes() * TRUNCATED_LENGTH_FACTOR);
     Futures.ignore(exchange.channel.write(head));
@@ -76,7 +76,7 @@
     DefaultFullHttpResponse answer =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1, status, headOnly ? Unpooled.EMPTY_BUFFER : body);
-    answer.headers().set(head(target, status).headers());
+    answer.headers().set(head(target, exchange, status).headers());
     answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
     answer.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN);
     if (!refusal.isEmpty()) {
@@ -92,7 +92,8 @@
     }
   }
 
-  private static HttpResponse head(StandInTarget target, HttpResponseStatus status) {
+  private static HttpResponse head(
+      StandInTarget target, Exchange exchange, HttpResponseStatus status) {
     HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
     LoadReport report = target.report();
     head.headers()
@@ -103,6 +104,9 @@
         .set(StandInHeaders.DATA_CENTRE, target.spec().dataCentre())
         .set(StandInHeaders.VERSION, target.spec().version())
         .set(StandInHeaders.PORT, target.spec().port());
+    if (!exchange.id.isEmpty()) {
+      head.headers().set(TargetProtocol.REQUEST_ID_HEADER, exchange.id);
+    }
     if (target.isDraining()) {
       head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
@@ -110,7 +114,7 @@
   }
 
   private static void startTransfer(StandInTarget target, Exchange exchange) {
-    HttpResponse head = head(target, HttpResponseStatus.OK);
+    HttpResponse head = head(target, exchange, HttpResponseStatus.OK);
     head.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_OCTET_STREAM);
     if (exchange.chunked) {
       head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
