--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/TargetRegistry.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/TargetRegistry.java
@@ -5,10 +5,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.waxwingbeam.model.InstanceName;
 import org.waxwingbeam.model.ServiceName;
 import org.waxwingbeam.model.TargetId;
 import org.waxwingbeam.target.TargetAnnouncement.State;
@@ -52,19 +54,75 @@
     }
     TargetAnnouncement effective = keepDraining(known, announcement);
     long expiryNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(announcement.timeToLiveMs());
-    entries.put(effective.target(), new Entry(effective, expiryNanos, true));
+    entries.put(effective.target(), new Entry(effective, expiryNanos, true, Optional.empty()));
     if (known != null && known.live && known.announcement.equals(effective)) {
       return new Result.Renewed();
     }
     if (known != null && !known.announcement.service().equals(effective.service())) {
-      withdraw(known.announcement);
+      withdrawFromService(known.announcement);
     }
-    live.computeIfAbsent(effective.service(), name -> new TreeMap<>())
-        .put(effective.target(), effective);
-    publish(effective.service());
+    add(effective);
     return new Result.Changed(effective);
   }
 
+  /**
+   * Takes an announcement that another entry instance vouches for. It holds until it is withdrawn
+   * or {@linkplain #release released}.
+   *
+   * @param nowNanos the entry's monotonic clock
+   * @param announcement what the target says
+   * @param voucher the entry instance to which the target announces itself
+   */
+  public synchronized void learn(
+      long nowNanos, TargetAnnouncement announcement, InstanceName voucher) {
+    Entry known = entries.get(announcement.target());
+    if (known != null && announcement.bootId() < known.announcement.bootId()) {
+      return;
+    }
+    TargetAnnouncement effective = keepDraining(known, announcement);
+    Entry learned =
+        known != null && isVouchedHere(nowNanos, announcement)
+            ? new Entry(effective, known.expiryNanos, true, Optional.empty())
+            : new Entry(effective, nowNanos, true, Optional.of(voucher));
+    entries.put(effective.target(), learned);
+    if (known != null && !known.announcement.service().equals(effective.service())) {
+      withdrawFromService(known.announcement);
+    }
+    add(effective);
+  }
+
+  /** Returns whether the same start of a target announces itself to this entry instance. */
+  public synchronized boolean isVouchedHere(long nowNanos, TargetAnnouncement announcement) {
+    Entry known = entries.get(announcement.target());
+    return known != null
+        && known.live
+        && known.voucher.isEmpty()
+        && known.announcement.bootId() == announcement.bootId()
+        && nowNanos - known.expiryNanos < 0;
+  }
+
+  /** Removes a start of a target that its voucher has withdrawn. */
+  public synchronized void withdraw(TargetAnnouncement announcement) {
+    Entry known = entries.get(announcement.target());
+    if (known != null && known.live && known.announcement.bootId() <= announcement.bootId()) {
+      remove(known.announcement);
+    }
+  }
+
+  /**
+   * Lets the announcements expire whose vouchers are no longer live, unless they are repeated.
+   *
+   * @param nowNanos the entry's monotonic clock
+   * @param vouchers the live entry instances
+   */
+  public synchronized void release(long nowNanos, Set<InstanceName> vouchers) {
+    entries.replaceAll(
+        (target, entry) ->
+            entry.voucher.filter(each -> !vouchers.contains(each)).isPresent()
+                ? entry.expiringFrom(nowNanos)
+                : entry);
+  }
+
   /**
    * Removes the targets whose announcements were not repeated in time.
    *
@@ -77,7 +135,7 @@
         .removeIf(each -> !each.live && nowNanos - each.expiryNanos > BOOT_ID_RETENTION_NANOS);
     List<TargetAnnouncement> expired =
         entries.values().stream()
-            .filter(each -> each.live && nowNanos - each.expiryNanos >= 0)
+            .filter(each -> each.live && each.voucher.isEmpty() && nowNanos - each.expiryNanos >= 0)
             .map(Entry::announcement)
             .sorted(Comparator.comparing(TargetAnnouncement::target))
             .toList();
@@ -113,11 +171,18 @@
 
   private void remove(TargetAnnouncement gone) {
     entries.computeIfPresent(
-        gone.target(), (target, entry) -> new Entry(gone, entry.expiryNanos, false));
-    withdraw(gone);
+        gone.target(),
+        (target, entry) -> new Entry(gone, entry.expiryNanos, false, Optional.empty()));
+    withdrawFromService(gone);
   }
 
-  private void withdraw(TargetAnnouncement gone) {
+  private void add(TargetAnnouncement effective) {
+    live.computeIfAbsent(effective.service(), name -> new TreeMap<>())
+        .put(effective.target(), effective);
+    publish(effective.service());
+  }
+
+  private void withdrawFromService(TargetAnnouncement gone) {
     SortedMap<TargetId, TargetAnnouncement> targets = live.get(gone.service());
     if (targets != null) {
       targets.remove(gone.target());
@@ -160,5 +225,14 @@
   }
 
   /** The latest announcement of a target; no longer live once it has expired. */
-  private record Entry(TargetAnnouncement announcement, long expiryNanos, boolean live) {}
+  private record Entry(
+      TargetAnnouncement announcement,
+      long expiryNanos,
+      boolean live,
+      Optional<InstanceName> voucher) {
+    Entry expiringFrom(long nowNanos) {
+      long timeToLiveNanos = TimeUnit.MILLISECONDS.toNanos(announcement.timeToLiveMs());
+      return new Entry(announcement, nowNanos + timeToLiveNanos, live, Optional.empty());
+    }
+  }
 }
