--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/SettingsTable.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/SettingsTable.java
@@ -72,9 +72,9 @@
       optional(
           "choice",
           "policy",
-          NAME,
-          "least-outstanding",
-          "Name of the policy that chooses targets.");
+          new SettingType.Choice(List.copyOf(ChoicePolicy.all().keySet())),
+          ChoicePolicy.DEFAULT_NAME,
+          "Policy that chooses targets.");
   static final SettingKey LOG_LEVEL =
       optional(
           "log",
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/path/PathFixture.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/path/PathFixture.java
@@ -19,6 +19,7 @@
 import org.waxwingbeam.settings.ControlSettings;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.settings.EntrySettings;
+import org.waxwingbeam.target.ChoicePolicy;
 import org.waxwingbeam.tools.load.LoadGenerator;
 import org.waxwingbeam.tools.load.LoadPlan;
 import org.waxwingbeam.tools.load.RequestOutcome.Kind;
@@ -147,7 +148,7 @@
         List.of(new Endpoint("127.0.0.1", control.entriesPort())),
         token,
         new EntrySettings.CallerLimits(16_384, 5_000, 60_000),
-        new EntrySettings.ChoiceSettings("least-outstanding"),
+        new EntrySettings.ChoiceSettings(ChoicePolicy.DEFAULT_NAME),
         workers);
   }
 
--- /dev/null
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/IdempotencyKeyTest.java
@@ -0,0 +1,251 @@
+package org.waxwingbeam.tools.request;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.waxwingbeam.caller.PoisonList;
+import org.waxwingbeam.model.Parameter;
+import org.waxwingbeam.model.Parameters;
+import org.waxwingbeam.tools.fakes.EntryFixture;
+import org.waxwingbeam.tools.fakes.HostileTarget;
+import org.waxwingbeam.tools.fakes.RawAnswer;
+import org.waxwingbeam.tools.fakes.RawCaller;
+import org.waxwingbeam.tools.fakes.RawRequest;
+import org.waxwingbeam.tools.fakes.RotatingDispatcher;
+import org.waxwingbeam.tools.fakes.TableClaimClient;
+
+/** Tests each case of the page on idempotency keys, across two entry instances. */
+@Timeout(60)
+class IdempotencyKeyTest {
+  private static final String REFUSAL =
+      "HTTP/1.1 503 No\r\nwaxwingbeam-refused: overloaded\r\ncontent-length: 0\r\n\r\n";
+  private static final String ORDER = "order=wax";
+
+  private final TableClaimClient claims = new TableClaimClient();
+
+  @Test
+  void answerIsReplayedAtAnotherEntryInstance() throws Exception {
+    try (HostileTarget target = new HostileTarget(IdempotencyKeyTest::take);
+        EntryFixture first = entry("entry-1", target, Parameters.NONE);
+        EntryFixture second = entry("entry-2", target, Parameters.NONE)) {
+      RawAnswer ran = post(first, "k1", ORDER);
+      RawAnswer replayed = post(second, "k1", ORDER);
+
+      assertThat(ran.body()).isEqualTo("taken 1");
+      assertThat(replayed.body()).isEqualTo("taken 1");
+      assertThat(replayed.header("waxwingbeam-replayed")).hasValue("yes");
+      assertThat(target.runs("k1")).isEqualTo(1);
+    }
+  }
+
+  @Test
+  void longAnswerIsNotKeptButTheRequestRunsOnce() throws Exception {
+    Parameters parameters = Parameters.NONE.with(Parameter.RECORDED_ANSWER_LIMIT, 3);
+    try (HostileTarget target = new HostileTarget(IdempotencyKeyTest::take);
+        EntryFixture entry = entry("entry-1", target, parameters)) {
+      post(entry, "k1", ORDER);
+
+      assertThat(errorOf(post(entry, "k1", ORDER))).isEqualTo("already-run unknown");
+      assertThat(target.runs("k1")).isEqualTo(1);
+    }
+  }
+
+  @Test
+  void keyWithAnotherBodyIsRefused() throws Exception {
+    try (HostileTarget target = new HostileTarget(IdempotencyKeyTest::take);
+        EntryFixture entry = entry("entry-1", target, Parameters.NONE)) {
+      post(entry, "k1", ORDER);
+
+      assertThat(errorOf(post(entry, "k1", "order=more"))).isEqualTo("key-reused no");
+      assertThat(target.runs("k1")).isEqualTo(1);
+    }
+  }
+
+  @Test
+  void requestThatIsRunningIsNotRunAgain() throws Exception {
+    CountDownLatch arrived = new CountDownLatch(1);
+    CountDownLatch release = new CountDownLatch(1);
+    HostileTarget.Script slow =
+        connection -> {
+          connection.run();
+          arrived.countDown();
+          release.await();
+          connection.write(answer("slow"));
+        };
+    try (HostileTarget target = new HostileTarget(slow);
+        EntryFixture first = entry("entry-1", target, Parameters.NONE);
+        EntryFixture second = entry("entry-2", target, Parameters.NONE);
+        RawCaller caller = new RawCaller(first.endpoint())) {
+      caller.send(request("k1", ORDER));
+      arrived.await();
+      assertThat(errorOf(post(second, "k1", ORDER))).isEqualTo("already-running unknown");
+      release.countDown();
+
+      assertThat(caller.readAnswer(false).map(RawAnswer::body)).hasValue("slow");
+      assertThat(target.runs("k1")).isEqualTo(1);
+    }
+  }
+
+  @Test
+  void outcomeIsUnknownAfterTheConnectionDied() throws Exception {
+    try (HostileTarget target = new HostileTarget(HostileTarget.Connection::run);
+        EntryFixture entry = entry("entry-1", target, Parameters.NONE)) {
+      assertThat(errorOf(post(entry, "k1", ORDER))).isEqualTo("target-lost unknown");
+
+      assertThat(errorOf(post(entry, "k1", ORDER))).isEqualTo("outcome-unknown unknown");
+      assertThat(target.runs("k1")).isEqualTo(1);
+    }
+  }
+
+  @Test
+  void outcomeIsUnknownAfterTheEntryInstanceDied() throws Exception {
+    try (HostileTarget target = new HostileTarget(IdempotencyKeyTest::take);
+        EntryFixture second = entry("entry-2", target, Parameters.NONE)) {
+      claims.loseSettlements(true);
+      try (EntryFixture first = entry("entry-1", target, Parameters.NONE)) {
+        post(first, "k1", ORDER);
+      }
+      assertThat(errorOf(post(second, "k1", ORDER))).isEqualTo("already-running unknown");
+      claims.entryGone("entry-1");
+
+      assertThat(errorOf(post(second, "k1", ORDER))).isEqualTo("outcome-unknown unknown");
+      assertThat(target.runs("k1")).isEqualTo(1);
+    }
+  }
+
+  @Test
+  void requestIsNotSentWithoutClaim() throws Exception {
+    try (HostileTarget target = new HostileTarget(IdempotencyKeyTest::take);
+        EntryFixture entry = entry("entry-1", target, Parameters.NONE)) {
+      claims.loseAnswers(true);
+      assertThat(errorOf(post(entry, "k1", ORDER))).isEqualTo("no-claim no");
+      assertThat(target.runs("k1")).isEqualTo(0);
+
+      claims.loseAnswers(false);
+      assertThat(post(entry, "k1", ORDER).status()).isEqualTo(200);
+      assertThat(target.runs("k1")).isEqualTo(1);
+    }
+  }
+
+  @Test
+  void refusedRequestFreesItsKey() throws Exception {
+    HostileTarget.Script refuseFirst =
+        connection -> {
+          if (connection.number() == 1) {
+            connection.readUnrun();
+            connection.write(REFUSAL);
+          }
+          take(connection);
+        };
+    try (HostileTarget target = new HostileTarget(refuseFirst);
+        EntryFixture entry = entry("entry-1", target, Parameters.NONE)) {
+      assertThat(errorOf(post(entry, "k1", ORDER))).isEqualTo("no-target no");
+
+      assertThat(post(entry, "k1", ORDER).status()).isEqualTo(200);
+      assertThat(target.runs("k1")).isEqualTo(1);
+    }
+  }
+
+  @Test
+  void callerThatLeavesFindsTheOutcomeLater() throws Exception {
+    CountDownLatch arrived = new CountDownLatch(1);
+    CountDownLatch release = new CountDownLatch(1);
+    HostileTarget.Script slow =
+        connection -> {
+          connection.run();
+          arrived.countDown();
+          release.await();
+          connection.write(answer("done"));
+        };
+    try (HostileTarget target = new HostileTarget(slow);
+        EntryFixture entry = entry("entry-1", target, Parameters.NONE)) {
+      try (RawCaller caller = new RawCaller(entry.endpoint())) {
+        caller.send(request("k1", ORDER));
+        arrived.await();
+      }
+      release.countDown();
+      while (entry.exchangesUnderWay() > 0) {
+        Thread.sleep(5);
+      }
+
+      assertThat(post(entry, "k1", ORDER).body()).isEqualTo("done");
+      assertThat(target.runs("k1")).isEqualTo(1);
+    }
+  }
+
+  @Test
+  void requestWithoutKeyIsSentOnceAndRunsAgainWhenSentAgain() throws Exception {
+    try (HostileTarget target = new HostileTarget(IdempotencyKeyTest::take);
+        EntryFixture entry = entry("entry-1", target, Parameters.NONE);
+        RawCaller caller = new RawCaller(entry.endpoint())) {
+      String unkeyed = request("k1", ORDER).replace("idempotency-key", "x-other");
+      caller.send(unkeyed + unkeyed);
+
+      assertThat(caller.readAnswer(false).map(RawAnswer::body)).hasValue("taken 1");
+      assertThat(caller.readAnswer(false).map(RawAnswer::body)).hasValue("taken 2");
+    }
+  }
+
+  @Test
+  void bodyThatIsTooLongToClaimIsRefusedUnrun() throws Exception {
+    try (HostileTarget target = new HostileTarget(IdempotencyKeyTest::take);
+        EntryFixture entry = entry("entry-1", target, Parameters.NONE)) {
+      RawAnswer answer = post(entry, "k1", "x".repeat(70_000));
+
+      assertThat(errorOf(answer)).isEqualTo("request-too-large no");
+      assertThat(target.runs("k1")).isEqualTo(0);
+    }
+  }
+
+  private EntryFixture entry(String name, HostileTarget target, Parameters parameters) {
+    return new EntryFixture(
+        new RotatingDispatcher(List.of(target.id())),
+        parameters,
+        EntryFixture.ORDINARY_LIMITS,
+        new EntryFixture.Shared(name, claims, new PoisonList()));
+  }
+
+  private static RawAnswer post(EntryFixture entry, String key, String body) throws IOException {
+    try (RawCaller caller = new RawCaller(entry.endpoint())) {
+      caller.send(request(key, body));
+      return caller.readAnswer(false).orElseThrow();
+    }
+  }
+
+  private static String request(String key, String body) {
+    return String.join(
+        "\r\n",
+        "POST /orders HTTP/1.1",
+        "host: alpha.orders.example",
+        "idempotency-key: " + key,
+        "x-case: " + key,
+        "content-length: " + body.length(),
+        "",
+        body);
+  }
+
+  private static String errorOf(RawAnswer answer) {
+    return answer.header("waxwingbeam-error").orElse("none")
+        + " "
+        + answer.header("waxwingbeam-run").orElse("none");
+  }
+
+  private static void take(HostileTarget.Connection connection) throws IOException {
+    int taken = 0;
+    Optional<RawRequest> request = connection.run();
+    while (request.isPresent()) {
+      taken++;
+      connection.write(answer("taken " + taken));
+      request = connection.run();
+    }
+  }
+
+  private static String answer(String body) {
+    return "HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s".formatted(body.length(), body);
+  }
+}
