--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -176,6 +176,11 @@
     caller.setRequestReading(!blocked);
   }
 
+  /** Returns how the request is treated. */
+  RequestTerms terms() {
+    return terms;
+  }
+
   /** Returns whether the request has arrived to its end. */
   boolean isRequestWhole() {
     return body.isWhole();
@@ -259,6 +264,10 @@
 
   @Override
   public void onConnected(Attempt attempt) {
+    if (limits.headLeftNanos(context.clock().getAsLong()) <= 0) {
+      onDeadline();
+      return;
+    }
     attempt.target().ifPresent(used::add);
     caller.continueIfExpected();
     attempt.send(outgoingHead(), requestId, body);
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -9,8 +9,6 @@
 import org.waxwingbeam.daemon.control.ControlDaemon;
 import org.waxwingbeam.daemon.entry.EntryDaemon;
 import org.waxwingbeam.daemon.operate.OperateCommand;
-import org.waxwingbeam.logging.LogLevel;
-import org.waxwingbeam.logging.LogOutput;
 import org.waxwingbeam.settings.SettingsReader;
 import org.waxwingbeam.tools.choice.ChoiceMeasurement;
 import org.waxwingbeam.tools.demo.DemoReportCommand;
@@ -18,6 +16,7 @@
 import org.waxwingbeam.tools.measure.MeasureCommand;
 import org.waxwingbeam.tools.measure.Measurement;
 import org.waxwingbeam.tools.measure.capacity.CapacityMeasurement;
+import org.waxwingbeam.tools.measure.requests.RequestMeasurement;
 import org.waxwingbeam.tools.measure.versions.VersionsMeasurement;
 import org.waxwingbeam.tools.path.PathMeasurement;
 import org.waxwingbeam.tools.standin.TargetCommand;
@@ -27,6 +26,7 @@
   private static final List<Measurement> MEASUREMENTS =
       List.of(
           new PathMeasurement(),
+          new RequestMeasurement(),
           new ChoiceMeasurement(),
           new VersionsMeasurement(),
           new CapacityMeasurement());
@@ -42,13 +42,13 @@
           new TargetCommand(),
           new LoadCommand(),
           new DemoReportCommand(),
+          new ErrorsCommand(),
           new MeasureCommand(MEASUREMENTS));
 
   private Main() {}
 
   /** Runs the command line and exits with its code. */
   public static void main(String[] arguments) throws Exception {
-    LogOutput.install(System.err, LogLevel.WARN);
     CommandTable table = new CommandTable("waxwingbeam", COMMANDS);
     ExitCode code = table.run(List.of(arguments), System.out, System.err);
     System.exit(code.value());
