--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/SettingsTable.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/SettingsTable.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.waxwingbeam.logging.LogLevel;
+import org.waxwingbeam.target.ChoicePolicy;
 import org.waxwingbeam.text.Quantity;
 
 /**
