--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/requests/RequestMeasurement.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/requests/RequestMeasurement.java
@@ -22,7 +22,7 @@
   private static final int POISON_SENDINGS = 60;
   private static final int BRIEF_POISON_SENDINGS = 20;
   private static final int MAX_RUNS = 1;
-  private static final long BRIEF_LIMIT_NANOS = 35_000_000_000L;
+  private static final long BRIEF_LIMIT_NANOS = 25_000_000_000L;
 
   @Override
   public String name() {
@@ -49,7 +49,17 @@
       }
       poison.add(poison(seed, options.brief() ? BRIEF_POISON_SENDINGS : POISON_SENDINGS));
     }
-    return new MeasurementReport(tables(tally, poison), bounds(tally, poison));
+    List<Table> tables = new ArrayList<>(tables(tally, poison));
+    tables.add(transfers());
+    return new MeasurementReport(tables, bounds(tally, poison));
+  }
+
+  private static Table transfers() throws Exception {
+    try (TransferRun run = new TransferRun()) {
+      String throughput = "%.0f".formatted(run.throughput());
+      return new Table(
+          "transfers", List.of("quantity", "MiB/s"), List.of(List.of("one transfer", throughput)));
+    }
   }
 
   private static PoisonResult poison(long seed, int sendings) throws Exception {
