--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/peer/net/PeerNetwork.java
@@ -0,0 +1,179 @@
+package org.waxwingbeam.peer.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.waxwingbeam.control.EntryView;
+import org.waxwingbeam.control.net.Channels;
+import org.waxwingbeam.control.net.MessageFraming;
+import org.waxwingbeam.model.InstanceName;
+import org.waxwingbeam.peer.PeerTopology;
+import org.waxwingbeam.peer.RecordCodec;
+import org.waxwingbeam.peer.SoftRecord;
+import org.waxwingbeam.peer.SoftState;
+import org.waxwingbeam.settings.Endpoint;
+import org.waxwingbeam.wire.peer.PeerMessage;
+
+/**
+ * Shares soft state with other entry instances over connections that follow {@link PeerTopology}.
+ * Both ends of a new connection send all that they hold; afterwards only what is new is sent, and
+ * forwarded to every connection but the one on which it came.
+ *
+ * <pre>{@code
+ * PeerNetwork peers = new PeerNetwork(group, identity, listen, view, listener);
+ * peers.publish(record);
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+public final class PeerNetwork implements AutoCloseable {
+  private static final int CONNECT_TIMEOUT_MS = 1_000;
+  private static final long RECONCILE_MS = 250;
+
+  private final EventLoopGroup group;
+  private final Identity identity;
+  private final Supplier<EntryView> view;
+  private final Consumer<SoftRecord> listener;
+  private final SoftState state = new SoftState();
+  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final Map<InstanceName, Channel> dialled = new ConcurrentHashMap<>();
+  private final Channel server;
+  private final Future<?> reconciling;
+
+  /**
+   * Starts listening and connecting.
+   *
+   * @param group runs the connections
+   * @param identity who this entry instance is
+   * @param listen where other entry instances connect; port 0 lets the system choose
+   * @param view gives the live entry instances
+   * @param listener is told every record that another entry instance has found, on any thread
+   * @throws InterruptedException if the thread is interrupted before the port is bound
+   */
+  public PeerNetwork(
+      EventLoopGroup group,
+      Identity identity,
+      Endpoint listen,
+      Supplier<EntryView> view,
+      Consumer<SoftRecord> listener)
+      throws InterruptedException {
+    this.group = group;
+    this.identity = identity;
+    this.view = view;
+    this.listener = listener;
+    this.server =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .childHandler(initializer())
+            .bind(listen.socketAddress())
+            .sync()
+            .channel();
+    this.reconciling =
+        group
+            .next()
+            .scheduleWithFixedDelay(this::reconcile, 0, RECONCILE_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Returns the port that was bound. */
+  public int port() {
+    return ((InetSocketAddress) server.localAddress()).getPort();
+  }
+
+  /** Shares a record that was found here, if it is new. */
+  public void publish(SoftRecord found) {
+    forward(state.merge(System.nanoTime(), List.of(found)), server);
+  }
+
+  @Override
+  public void close() {
+    reconciling.cancel(false);
+    connections.close().awaitUninterruptibly();
+    server.close().awaitUninterruptibly();
+  }
+
+  void connected(Channel connection) {
+    connections.add(connection);
+    List<SoftRecord> all = state.all(System.nanoTime());
+    if (!all.isEmpty()) {
+      Channels.send(connection, RecordCodec.toMessage(all));
+    }
+  }
+
+  void received(Channel from, List<SoftRecord> records) {
+    List<SoftRecord> news = state.merge(System.nanoTime(), records);
+    news.forEach(listener);
+    forward(news, from);
+  }
+
+  private void forward(List<SoftRecord> news, Channel except) {
+    if (!news.isEmpty()) {
+      PeerMessage message = RecordCodec.toMessage(news);
+      connections.stream()
+          .filter(each -> each != except)
+          .forEach(each -> Channels.send(each, message));
+    }
+  }
+
+  private void reconcile() {
+    Map<InstanceName, Endpoint> wanted = new ConcurrentHashMap<>();
+    PeerTopology.dials(view.get(), identity.instance())
+        .forEach(each -> wanted.put(each.name(), each.peers()));
+    dialled.forEach(
+        (name, connection) -> {
+          if (!wanted.containsKey(name)) {
+            Channels.close(connection);
+          }
+        });
+    dialled.values().removeIf(each -> !each.isOpen());
+    wanted.keySet().removeAll(dialled.keySet());
+    wanted.forEach(this::dial);
+  }
+
+  private void dial(InstanceName name, Endpoint endpoint) {
+    ChannelFuture connecting =
+        new Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+            .handler(initializer())
+            .connect(endpoint.socketAddress());
+    dialled.put(name, connecting.channel());
+  }
+
+  private ChannelInitializer<SocketChannel> initializer() {
+    return new ChannelInitializer<>() {
+      @Override
+      protected void initChannel(SocketChannel connection) {
+        MessageFraming.addTo(connection.pipeline(), PeerMessage.getDefaultInstance());
+        connection.pipeline().addLast(new PeerConnection(PeerNetwork.this, identity));
+      }
+    };
+  }
+
+  /**
+   * Says who an entry instance is.
+   *
+   * @param instance its name
+   * @param token the credential shared by the system's own processes
+   */
+  public record Identity(InstanceName instance, String token) {}
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/peer/net/package-info.java
@@ -0,0 +1,2 @@
+/** Connects entry instances with each other. */
+package org.waxwingbeam.peer.net;
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Decides what entry instances tell each other. */
+package org.waxwingbeam.peer;
--- /dev/null
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/peer/AnnouncementSpreadTest.java
@@ -0,0 +1,106 @@
+package org.waxwingbeam.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.waxwingbeam.model.DataCentreName;
+import org.waxwingbeam.model.InstanceName;
+import org.waxwingbeam.model.ServiceName;
+import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.model.VersionName;
+import org.waxwingbeam.target.TargetAnnouncement;
+import org.waxwingbeam.target.TargetAnnouncement.State;
+import org.waxwingbeam.target.TargetRegistry;
+
+class AnnouncementSpreadTest {
+  private static final ServiceName SERVICE = new ServiceName("listing");
+  private static final InstanceName ONE = new InstanceName("entry-1");
+  private static final InstanceName TWO = new InstanceName("entry-2");
+  private static final Set<InstanceName> BOTH = Set.of(ONE, TWO);
+  private static final long MS = 1_000_000;
+
+  private final List<SoftRecord> shared = new ArrayList<>();
+  private final TargetRegistry first = new TargetRegistry();
+  private final TargetRegistry second = new TargetRegistry();
+  private final AnnouncementSpread one = new AnnouncementSpread(ONE, first, shared::add);
+  private final AnnouncementSpread two = new AnnouncementSpread(TWO, second, shared::add);
+
+  @Test
+  void targetThatAnnouncesItselfAtOneEntryIsKnownAtTheOther() {
+    one.announce(0, announcement(1, State.WARM));
+    two.receive(0, shared.getLast());
+
+    assertThat(second.targets(SERVICE)).containsExactly(announcement(1, State.WARM));
+  }
+
+  @Test
+  void repeatedAnnouncementIsNotShared() {
+    one.announce(0, announcement(1, State.WARM));
+    one.announce(300 * MS, announcement(1, State.WARM));
+
+    assertThat(shared).hasSize(1);
+  }
+
+  @Test
+  void voucherWithdrawsTargetThatNoLongerAnnouncesItself() {
+    one.announce(0, announcement(1, State.WARM));
+    two.receive(0, shared.getLast());
+    two.expire(5_000 * MS, BOTH);
+    assertThat(second.targets(SERVICE)).hasSize(1);
+
+    one.expire(1_000 * MS, BOTH);
+    two.receive(1_000 * MS, shared.getLast());
+    assertThat(second.targets(SERVICE)).isEmpty();
+  }
+
+  @Test
+  void withdrawalIsAnsweredWhereTheTargetAnnouncesItselfNow() {
+    one.announce(0, announcement(1, State.WARM));
+    two.receive(0, shared.getLast());
+    two.announce(900 * MS, announcement(1, State.WARM));
+    one.expire(1_000 * MS, BOTH);
+    two.receive(1_000 * MS, shared.getLast());
+    one.receive(1_000 * MS, shared.getLast());
+
+    assertThat(first.targets(SERVICE)).hasSize(1);
+    assertThat(second.targets(SERVICE)).hasSize(1);
+  }
+
+  @Test
+  void targetsOfVoucherThatLeftTheViewExpire() {
+    one.announce(0, announcement(1, State.WARM));
+    two.receive(0, shared.getLast());
+    two.expire(100 * MS, Set.of(TWO));
+    two.expire(1_099 * MS, Set.of(TWO));
+    assertThat(second.targets(SERVICE)).hasSize(1);
+
+    two.expire(1_100 * MS, Set.of(TWO));
+    assertThat(second.targets(SERVICE)).isEmpty();
+  }
+
+  @Test
+  void drainIsShared() {
+    one.announce(0, announcement(1, State.WARM));
+    two.receive(0, shared.getLast());
+    one.announce(1, announcement(1, State.DRAINING));
+    two.receive(1, shared.getLast());
+
+    assertThat(second.targets(SERVICE)).containsExactly(announcement(1, State.DRAINING));
+  }
+
+  private static TargetAnnouncement announcement(long bootId, State state) {
+    return new TargetAnnouncement(
+        SERVICE,
+        new TargetId("127.0.0.1", 9000),
+        new VersionName("v1"),
+        new DataCentreName("north"),
+        bootId,
+        4,
+        1,
+        state,
+        1_000);
+  }
+}
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -11,6 +11,8 @@
 import org.waxwingbeam.daemon.operate.OperateCommand;
 import org.waxwingbeam.settings.SettingsReader;
 import org.waxwingbeam.tools.choice.ChoiceMeasurement;
+import org.waxwingbeam.tools.choice.ColdMeasurement;
+import org.waxwingbeam.tools.choice.DataCentreMeasurement;
 import org.waxwingbeam.tools.demo.DemoReportCommand;
 import org.waxwingbeam.tools.load.LoadCommand;
 import org.waxwingbeam.tools.measure.MeasureCommand;
@@ -18,14 +20,18 @@
 import org.waxwingbeam.tools.measure.capacity.CapacityMeasurement;
 import org.waxwingbeam.tools.measure.requests.RequestMeasurement;
 import org.waxwingbeam.tools.measure.versions.VersionsMeasurement;
+import org.waxwingbeam.tools.path.PathMeasurement;
 import org.waxwingbeam.tools.standin.TargetCommand;
 
 /** Starts the program with every command: the shipped daemons' and the tools'. */
 public final class Main {
   private static final List<Measurement> MEASUREMENTS =
       List.of(
+          new PathMeasurement(),
           new RequestMeasurement(),
           new ChoiceMeasurement(),
+          new ColdMeasurement(),
+          new DataCentreMeasurement(),
           new VersionsMeasurement(),
           new CapacityMeasurement());
   private static final List<Command> COMMANDS =
