Entry instances share which requests have crashed targets

Purpose: what one entry instance has seen reaches the others as a record of the soft state, kept apart by the entry that saw it and dropped after the template's retention, so that two crashes seen by two entries add up.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Collectors;
 import org.waxwingbeam.caller.PoisonList;
 import org.waxwingbeam.caller.net.CallerServer;
@@ -34,6 +35,7 @@
 import org.waxwingbeam.model.ErrorKind;
 import org.waxwingbeam.model.InstanceName;
 import org.waxwingbeam.peer.AnnouncementSpread;
+import org.waxwingbeam.peer.PoisonRecords;
 import org.waxwingbeam.peer.SoftRecord;
 import org.waxwingbeam.peer.WarmthRecords;
 import org.waxwingbeam.peer.net.PeerNetwork;
@@ -66,6 +68,7 @@
 public final class EntryDaemon implements AutoCloseable, StoppableNow {
   private static final EventLog LOG = new EventLog(EntryDaemon.class);
   private static final long DISPATCH_TICK_MS = 5;
+  private static final long POISON_TICK_MS = 10;
   private static final long EXPIRY_TICK_MS = 100;
   private static final long DRAIN_POLL_MS = 20;
   private static final long MIN_DRAIN_MS = 500;
@@ -77,6 +80,8 @@
   private final TargetRegistry registry = new TargetRegistry();
   private final List<Future<?>> timers = new ArrayList<>();
   private final PoisonList poison = new PoisonList();
+  private final AtomicLong poisonGeneration = new AtomicLong();
+  private final long bootId = System.currentTimeMillis();
   private final AtomicBoolean stopping = new AtomicBoolean();
   private final AtomicBoolean hurried = new AtomicBoolean();
   private final ControlClient control;
@@ -122,6 +127,7 @@
     control.start();
     repeat(gate::tick, DISPATCH_TICK_MS);
     repeat(this::expireAnnouncements, EXPIRY_TICK_MS);
+    repeat(this::sharePoison, POISON_TICK_MS);
   }
 
   /**
@@ -144,9 +150,20 @@
 
   private void receive(SoftRecord found) {
     WarmthRecords.fromRecord(found).ifPresent(warmth::merge);
+    PoisonRecords.fromRecord(found).ifPresent(record -> poison.merge(System.nanoTime(), record));
     announcementSpread.receive(System.nanoTime(), found);
   }
 
+  private void sharePoison() {
+    poison
+        .takeChanges(System.nanoTime())
+        .forEach(
+            found ->
+                peers.publish(
+                    PoisonRecords.toRecord(
+                        found, settings.instance(), bootId, poisonGeneration.incrementAndGet())));
+  }
+
   private void expireAnnouncements() {
     Set<InstanceName> live =
         control.leasedView().view().members().stream()
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/peer/PoisonRecords.java
@@ -0,0 +1,69 @@
+package org.waxwingbeam.peer;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.waxwingbeam.caller.PoisonRecord;
+import org.waxwingbeam.model.InstanceName;
+import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.wire.poison.CrashedTarget;
+import org.waxwingbeam.wire.poison.PoisonSighting;
+
+/**
+ * Converts between {@link PoisonRecord} and the records that entry instances share.
+ *
+ * @since 0.1.0
+ */
+public final class PoisonRecords {
+  private PoisonRecords() {}
+
+  /**
+   * Returns the record to share.
+   *
+   * @param found what this entry instance has seen
+   * @param self this entry instance; what two of them have seen is kept apart
+   * @param bootId the start of this entry instance
+   * @param generation higher than that of the record shared before for the same fingerprint
+   */
+  public static SoftRecord toRecord(
+      PoisonRecord found, InstanceName self, long bootId, long generation) {
+    PoisonSighting.Builder sighting =
+        PoisonSighting.newBuilder()
+            .setFingerprint(found.fingerprint())
+            .setPrefix(found.prefix())
+            .setRetentionMs(found.retentionMs());
+    found.targets().stream().sorted().map(PoisonRecords::toWire).forEach(sighting::addTargets);
+    return new SoftRecord(
+        SoftRecord.Kind.POISON_REQUEST,
+        found.fingerprint() + "@" + self,
+        bootId,
+        generation,
+        sighting.build().toByteString(),
+        Math.max(1, found.retentionMs() - found.ageMs()));
+  }
+
+  private static CrashedTarget toWire(TargetId target) {
+    return CrashedTarget.newBuilder().setHost(target.host()).setPort(target.port()).build();
+  }
+
+  /** Reads a shared record; empty if it is of another kind or malformed. */
+  public static Optional<PoisonRecord> fromRecord(SoftRecord record) {
+    if (record.kind() != SoftRecord.Kind.POISON_REQUEST) {
+      return Optional.empty();
+    }
+    try {
+      PoisonSighting sighting = PoisonSighting.parseFrom(record.value());
+      return Optional.of(
+          new PoisonRecord(
+              sighting.getFingerprint(),
+              sighting.getPrefix(),
+              sighting.getTargetsList().stream()
+                  .map(each -> new TargetId(each.getHost(), each.getPort()))
+                  .collect(Collectors.toSet()),
+              Math.max(0, sighting.getRetentionMs() - record.timeToLiveMs()),
+              sighting.getRetentionMs()));
+    } catch (InvalidProtocolBufferException | IllegalArgumentException malformed) {
+      return Optional.empty();
+    }
+  }
+}
