--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ControlDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ControlDaemon.java
@@ -27,6 +27,7 @@
 import org.waxwingbeam.replica.net.ReplicaHost;
 import org.waxwingbeam.settings.ControlSettings;
 import org.waxwingbeam.settings.Endpoint;
+import org.waxwingbeam.target.version.VersionJudge;
 import org.waxwingbeam.wire.control.NotLeader;
 
 /**
@@ -53,6 +54,7 @@
   private final EntryRegistry registry = new EntryRegistry();
   private final EntrySessions sessions;
   private final OperatorService operators;
+  private final MoveLeader moves;
   private final EntryStreamServer entryServer;
   private final OperatorServer operatorServer;
   private final ControlMetrics metrics;
@@ -82,6 +84,8 @@
     metrics = new ControlMetrics(registered);
     metricsServer = MetricsServer.start(settings.metrics(), registered);
     operators = new OperatorService(state, host, registry, System::currentTimeMillis);
+    moves = new MoveLeader(state, host, operators);
+    sessions.onEvidence(moves::observe);
     entryServer = new EntryStreamServer(group, settings.entries(), sessions);
     operatorServer =
         new OperatorServer(
@@ -131,6 +135,7 @@
     Journal journal = Journal.open(DiskFolder.open(settings.dataFolder()), ControlDaemon::newId);
     ControlDaemon daemon = new ControlDaemon(settings, claims, journal, tokens);
     daemon.host.start();
+    daemon.leadMoves();
     LOG.info(
         "control-started",
         "instance",
@@ -148,6 +153,19 @@
     return daemon;
   }
 
+  private void leadMoves() {
+    group
+        .next()
+        .scheduleAtFixedRate(
+            moves::tick, VersionJudge.TICK_MS, VersionJudge.TICK_MS, TimeUnit.MILLISECONDS)
+        .addListener(
+            ended -> {
+              if (ended.cause() != null && !ended.isCancelled()) {
+                LOG.warn("move-leader-failed", "reason", ended.cause().toString());
+              }
+            });
+  }
+
   private static String newId() {
     byte[] bytes = new byte[ID_BYTES];
     new SecureRandom().nextBytes(bytes);
--- /dev/null
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/MoveLeader.java
@@ -0,0 +1,67 @@
+package org.waxwingbeam.daemon.control;
+
+import org.waxwingbeam.logging.EventLog;
+import org.waxwingbeam.operator.Change;
+import org.waxwingbeam.operator.ChangeCodec;
+import org.waxwingbeam.operator.OperatorService;
+import org.waxwingbeam.replica.CommandLog;
+import org.waxwingbeam.replica.ReplicatedState;
+import org.waxwingbeam.target.version.EvidenceCodec;
+import org.waxwingbeam.target.version.MoveSupervisors;
+import org.waxwingbeam.wire.operator.ChangeRequest;
+import org.waxwingbeam.wire.versions.Evidence;
+
+/** Leads version moves while this replica leads; runs on the replica's event loop. */
+final class MoveLeader {
+  private static final EventLog LOG = new EventLog(MoveLeader.class);
+  private static final String OPERATOR = "waxwingbeam";
+
+  private final ReplicatedState state;
+  private final CommandLog log;
+  private final OperatorService operators;
+  private final MoveSupervisors supervisors = new MoveSupervisors();
+  private boolean proposing;
+
+  MoveLeader(ReplicatedState state, CommandLog log, OperatorService operators) {
+    this.state = state;
+    this.log = log;
+    this.operators = operators;
+  }
+
+  void observe(Evidence message) {
+    try {
+      supervisors.observe(System.currentTimeMillis(), EvidenceCodec.decode(message));
+    } catch (IllegalArgumentException malformed) {
+      LOG.warn("evidence-refused", "entry", message.getEntry(), "reason", malformed.getMessage());
+    }
+  }
+
+  void tick() {
+    if (!log.holdsLease(System.nanoTime())) {
+      supervisors.clear();
+      return;
+    }
+    long now = System.currentTimeMillis();
+    supervisors
+        .tick(now, state.configuration(), state.view().getMembersCount())
+        .forEach(change -> propose(now, change));
+  }
+
+  /** Proposes one change at a time; a change that is lost is decided again at the next tick. */
+  private void propose(long nowMs, Change change) {
+    if (proposing) {
+      return;
+    }
+    proposing = true;
+    long number = state.configuration().number();
+    LOG.info("move-decided", "number", number, "change", change);
+    ChangeRequest request =
+        ChangeRequest.newBuilder()
+            .setChangeId("move-%d-%d".formatted(number, nowMs))
+            .setBasedOn(number)
+            .setOperator(OPERATOR)
+            .setChange(ChangeCodec.encode(change))
+            .build();
+    operators.change(request, outcome -> proposing = false);
+  }
+}
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
@@ -39,7 +39,6 @@
 import org.waxwingbeam.target.TargetRegistry;
 import org.waxwingbeam.target.net.AnnouncementServer;
 import org.waxwingbeam.target.net.TargetConnections;
-import org.waxwingbeam.target.version.VersionSelector;
 import org.waxwingbeam.wire.control.EntryMember;
 
 /**
@@ -69,6 +68,7 @@
   private final AtomicBoolean stopping = new AtomicBoolean();
   private final AtomicBoolean hurried = new AtomicBoolean();
   private final ControlClient control;
+  private final EntryMoves moves;
   private final AnnouncementServer announcements;
   private final PlatformServer platform;
   private final PrometheusRegistry metrics = new PrometheusRegistry();
@@ -93,10 +93,12 @@
             announcement -> registry.announce(System.nanoTime(), announcement));
     metricsServer = MetricsServer.start(settings.metrics(), metrics);
     platform = new PlatformServer(group, settings.platform(), this::refusal);
-    DispatchGate gate = new DispatchGate(dispatcher(), System::nanoTime);
+    moves = new EntryMoves(settings.instance(), applied, control);
+    DispatchGate gate = new DispatchGate(moves.recording(dispatcher(), registry), System::nanoTime);
     callers = new CallerServer(group, settings.callers(), settings.callerLimits(), context(gate));
     control.start();
     repeat(gate::tick, DISPATCH_TICK_MS);
+    repeat(moves::tick, EntryMoves.TICK_MS);
     repeat(() -> registry.expire(System.nanoTime()), EXPIRY_TICK_MS);
   }
 
@@ -139,7 +141,7 @@
         registry,
         applied::current,
         control::leasedView,
-        VersionSelector.ANY);
+        moves.selector());
   }
 
   private ExchangeContext context(DispatchGate gate) {
--- /dev/null
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryMoves.java
@@ -0,0 +1,57 @@
+package org.waxwingbeam.daemon.entry;
+
+import org.waxwingbeam.control.AppliedConfiguration;
+import org.waxwingbeam.control.net.ControlClient;
+import org.waxwingbeam.model.InstanceName;
+import org.waxwingbeam.target.Dispatcher;
+import org.waxwingbeam.target.TargetRegistry;
+import org.waxwingbeam.target.version.EvidenceCodec;
+import org.waxwingbeam.target.version.EvidenceRecorder;
+import org.waxwingbeam.target.version.MoveSelector;
+import org.waxwingbeam.target.version.RecordingDispatcher;
+import org.waxwingbeam.target.version.VersionSelector;
+
+/** Connects an entry instance's part in version moves with its dispatcher and the leader. */
+final class EntryMoves {
+  static final long TICK_MS = 50;
+
+  private static final long RESYNC_NANOS = 2_000_000_000;
+  private static final int PHASES = 1_000;
+
+  private final ControlClient control;
+  private final MoveSelector selector;
+  private final EvidenceRecorder recorder;
+  private long leaseUntilNanos;
+  private long resyncedNanos;
+
+  EntryMoves(InstanceName entry, AppliedConfiguration applied, ControlClient control) {
+    this.control = control;
+    int phase = Math.floorMod(entry.value().hashCode(), PHASES);
+    this.resyncedNanos = System.nanoTime();
+    this.selector = new MoveSelector(applied::current, phase, PHASES, resyncedNanos);
+    this.recorder = new EvidenceRecorder(entry, applied::current, selector);
+  }
+
+  VersionSelector selector() {
+    return selector;
+  }
+
+  Dispatcher recording(Dispatcher dispatcher, TargetRegistry registry) {
+    return new RecordingDispatcher(dispatcher, registry, recorder);
+  }
+
+  /** Notes new leases and sends the reports that are due. */
+  void tick() {
+    long now = System.nanoTime();
+    long validUntil = control.leasedView().validUntilNanos();
+    if (validUntil != leaseUntilNanos) {
+      leaseUntilNanos = validUntil;
+      selector.heardFromControl(now);
+    }
+    if (now - resyncedNanos >= RESYNC_NANOS) {
+      resyncedNanos = now;
+      recorder.resync();
+    }
+    recorder.drain(now).forEach(report -> control.report(EvidenceCodec.encode(report)));
+  }
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/EntrySessions.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/EntrySessions.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.waxwingbeam.model.InstanceName;
@@ -28,6 +29,7 @@
 import org.waxwingbeam.wire.replica.ChangeEntryView;
 import org.waxwingbeam.wire.replica.ClaimBatch;
 import org.waxwingbeam.wire.replica.Command;
+import org.waxwingbeam.wire.versions.Evidence;
 
 /**
  * Serves connected entry instances at a control replica: sends accepted changes and entry views,
@@ -51,6 +53,7 @@
   private final LongSupplier wallMs;
   private final Set<Session> sessions = new LinkedHashSet<>();
   private boolean viewChangeProposed;
+  private Consumer<Evidence> evidence = message -> {};
 
   /**
    * Creates the service.
@@ -77,6 +80,12 @@
     this.wallMs = wallMs;
   }
 
+  /** Sets what receives the evidence on version moves. */
+  public EntrySessions onEvidence(Consumer<Evidence> receiver) {
+    evidence = receiver;
+    return this;
+  }
+
   /** The connection of one entry instance. */
   public interface Connection {
     /** Sends a message. */
@@ -163,6 +172,7 @@
         case HELLO -> greet(nowNanos, message.getHello());
         case HEARTBEAT -> renew(nowNanos, message.getHeartbeat());
         case CLAIM -> claim(message.getClaim());
+        case EVIDENCE -> evidence.accept(message.getEvidence());
         default -> connection.close();
       }
     }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/ControlClient.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/ControlClient.java
@@ -33,6 +33,7 @@
 import org.waxwingbeam.wire.control.EntryMessage;
 import org.waxwingbeam.wire.control.Heartbeat;
 import org.waxwingbeam.wire.control.NotLeader;
+import org.waxwingbeam.wire.versions.Evidence;
 
 /**
  * Keeps an entry instance connected to the leading control replica: receives configurations, entry
@@ -143,6 +144,16 @@
     loop.execute(() -> send(command, until, answer));
   }
 
+  /** Sends evidence on a version move; it is lost if no replica is connected. */
+  public void report(Evidence evidence) {
+    loop.execute(
+        () ->
+            current.ifPresent(
+                channel ->
+                    Channels.send(
+                        channel, EntryMessage.newBuilder().setEvidence(evidence).build())));
+  }
+
   private void send(ByteString command, long until, Consumer<Optional<ByteString>> answer) {
     if (current.isEmpty()) {
       answer.accept(Optional.empty());
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/EntryDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/EntryDispatcher.java
@@ -50,9 +50,7 @@
 
   @Override
   public Decision request(long nowNanos, DispatchRequest request) {
-    Optional<VersionName> version =
-        versions.select(
-            nowNanos, request.service(), request.account(), request.route(), request.idempotent());
+    Optional<VersionName> version = version(nowNanos, request);
     ServiceDispatcher dispatcher =
         services.computeIfAbsent(request.service(), name -> new ServiceDispatcher(name, context));
     Attempt attempt = new Attempt(request, version, dispatcher);
@@ -138,6 +136,13 @@
     }
   }
 
+  private Optional<VersionName> version(long nowNanos, DispatchRequest request) {
+    return request.excluded().isEmpty()
+        ? versions.select(
+            nowNanos, request.service(), request.account(), request.route(), request.idempotent())
+        : versions.selectRetry(nowNanos, request.service());
+  }
+
   private ServiceDispatcher dispatcher(ServiceName service) {
     return services.computeIfAbsent(service, name -> new ServiceDispatcher(name, context));
   }
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/EvidenceCodec.java
@@ -0,0 +1,91 @@
+package org.waxwingbeam.target.version;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.waxwingbeam.model.InstanceName;
+import org.waxwingbeam.model.RouteName;
+import org.waxwingbeam.model.ServiceName;
+import org.waxwingbeam.wire.versions.Counts;
+import org.waxwingbeam.wire.versions.Evidence;
+
+/**
+ * Turns evidence reports into messages and back.
+ *
+ * @since 0.1.0
+ */
+public final class EvidenceCodec {
+  private EvidenceCodec() {}
+
+  /** Returns the message of a report. */
+  public static Evidence encode(EvidenceReport report) {
+    Evidence.Builder message =
+        Evidence.newBuilder()
+            .setEntry(report.entry().value())
+            .setService(report.service().value())
+            .setMoveStartMs(report.moveStartMs())
+            .setStopped(report.stopped());
+    report.counts().forEach((key, counts) -> message.addCounts(encoded(key, counts)));
+    return message.build();
+  }
+
+  /**
+   * Returns the report in a message.
+   *
+   * @throws IllegalArgumentException if a name, level, group or bucket is out of range
+   */
+  public static EvidenceReport decode(Evidence message) {
+    Map<EvidenceKey, EvidenceCounts> counts = new HashMap<>();
+    message.getCountsList().forEach(each -> counts.put(key(each), counts(each)));
+    return new EvidenceReport(
+        new InstanceName(message.getEntry()),
+        new ServiceName(message.getService()),
+        message.getMoveStartMs(),
+        counts,
+        message.getStopped());
+  }
+
+  private static Counts encoded(EvidenceKey key, EvidenceCounts counts) {
+    Counts.Builder message =
+        Counts.newBuilder()
+            .setRoute(key.route().value())
+            .setFresh(key.fresh())
+            .setLevel(Counts.Level.valueOf(key.level().name()))
+            .setCell(key.cell())
+            .setRan(counts.ran())
+            .setFailed(counts.failed());
+    for (int bucket = 0; bucket < LatencyCounts.BUCKETS; bucket++) {
+      if (counts.latencies().count(bucket) > 0) {
+        message.addBuckets(bucket).addBucketCounts(counts.latencies().count(bucket));
+      }
+    }
+    return message.build();
+  }
+
+  private static EvidenceKey key(Counts message) {
+    if (message.getCell() < 0 || message.getCell() >= EvidenceKey.CELLS) {
+      throw new IllegalArgumentException(
+          "cell %d: expected 0 to %d".formatted(message.getCell(), EvidenceKey.CELLS - 1));
+    }
+    return new EvidenceKey(
+        new RouteName(message.getRoute()),
+        message.getFresh(),
+        LoadLevel.valueOf(message.getLevel().name()),
+        message.getCell());
+  }
+
+  private static EvidenceCounts counts(Counts message) {
+    LatencyCounts latencies = new LatencyCounts();
+    if (message.getBucketsCount() != message.getBucketCountsCount()) {
+      throw new IllegalArgumentException("latency buckets: expected as many counts as numbers");
+    }
+    for (int index = 0; index < message.getBucketsCount(); index++) {
+      int bucket = message.getBuckets(index);
+      if (bucket < 0 || bucket >= LatencyCounts.BUCKETS) {
+        throw new IllegalArgumentException(
+            "latency bucket %d: expected 0 to %d".formatted(bucket, LatencyCounts.BUCKETS - 1));
+      }
+      latencies.add(bucket, message.getBucketCounts(index));
+    }
+    return new EvidenceCounts(message.getRan(), message.getFailed(), latencies);
+  }
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/EvidenceRecorder.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/EvidenceRecorder.java
@@ -30,7 +30,7 @@
  */
 public final class EvidenceRecorder {
   /** Longest time between a change of the counts and its report, in nanoseconds. */
-  public static final long REPORT_INTERVAL_NANOS = 250_000_000;
+  public static final long REPORT_INTERVAL_NANOS = 200_000_000;
 
   /** Longest time between two reports on an unfinished move, in nanoseconds. */
   public static final long HEARTBEAT_NANOS = 1_000_000_000;
@@ -56,6 +56,12 @@
     this.selector = selector;
   }
 
+  /** Returns whether a service has an unfinished move. */
+  public boolean watches(ServiceName service) {
+    VersionMove move = configuration.get().moves().get(service);
+    return move != null && isUnfinished(move);
+  }
+
   /** Counts the end of one attempt. Does nothing for a service that has no unfinished move. */
   public void record(long nowNanos, Observation observation) {
     VersionMove move = configuration.get().moves().get(observation.service());
@@ -118,7 +124,7 @@
       boolean failed = observation.verdict() == Verdict.FAILURE;
       EvidenceKey key = key(observation, fresh);
       Counter counter = counters.computeIfAbsent(key, absent -> new Counter());
-      counter.add(failed, observation.headLatencyNanos());
+      counter.add(failed, observation.unqueuedNanos());
       changed = true;
       urgent |= fresh && failed;
       if (fresh) {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/MovePace.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/MovePace.java
@@ -12,8 +12,6 @@
   private static final int[] RAMP_PER_MILLE = {100, 250, 500, 1_000};
   private static final double TRIAL_PART = 0.7;
   private static final double STEP_PART = 0.05;
-  private static final int FIRST_SHARE_DIVISOR = 5;
-  private static final double FIRST_SHARE_PART = 0.05;
   private static final long LATEST_FINISH_MARGIN_MS = 1_000;
 
   private final VersionMove move;
@@ -31,9 +29,8 @@
   }
 
   /** Returns the share while the version is unproven, per mille. */
-  public int trialShare(long nowMs) {
-    boolean early = nowMs - move.startMs() < FIRST_SHARE_PART * durationMs();
-    return early ? Math.max(1, unprovenPerMille / FIRST_SHARE_DIVISOR) : unprovenPerMille;
+  public int trialShare() {
+    return unprovenPerMille;
   }
 
   /** Returns when the share may first rise above the unproven one, in ms since the epoch. */
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/MoveSupervisor.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/MoveSupervisor.java
@@ -131,7 +131,7 @@
     }
     int next =
         unprovenRoute().isPresent() || share < terms.unprovenPerMille()
-            ? Math.max(share, pace.trialShare(nowMs))
+            ? Math.max(share, pace.trialShare())
             : pace.provenShare(nowMs, share, shareSinceMs);
     if (next == share) {
       return new MoveDecision.Hold();
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/MoveSupervisors.java
@@ -0,0 +1,89 @@
+package org.waxwingbeam.target.version;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.waxwingbeam.model.Configuration;
+import org.waxwingbeam.model.ServiceName;
+import org.waxwingbeam.model.VersionMove;
+import org.waxwingbeam.model.VersionMove.State;
+import org.waxwingbeam.operator.Change;
+
+/**
+ * Leads every unfinished version move at the leader of the control replicas. Not safe for use by
+ * several threads.
+ *
+ * <pre>{@code
+ * supervisors.observe(nowMs, report);
+ * supervisors.tick(nowMs, configuration, liveEntries).forEach(this::propose);
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+public final class MoveSupervisors {
+  private final Map<ServiceName, Supervised> supervised = new HashMap<>();
+
+  private record Supervised(long startMs, MoveSupervisor supervisor) {}
+
+  /** Takes the totals of one entry instance. Does nothing if no such move is unfinished. */
+  public void observe(long nowMs, EvidenceReport report) {
+    Supervised known = supervised.get(report.service());
+    if (known != null) {
+      known.supervisor().observe(nowMs, report);
+    }
+  }
+
+  /**
+   * Returns the changes that the moves need now; to be called every {@link VersionJudge#TICK_MS}.
+   *
+   * @param nowMs the time, in milliseconds since the epoch
+   * @param configuration the accepted configuration
+   * @param liveEntries number of live entry instances
+   */
+  public List<Change> tick(long nowMs, Configuration configuration, int liveEntries) {
+    List<VersionMove> moves =
+        configuration.moves().values().stream()
+            .filter(move -> move.state() == State.RUNNING || move.state() == State.SOAKING)
+            .toList();
+    supervised.keySet().retainAll(moves.stream().map(VersionMove::service).toList());
+    return moves.stream()
+        .map(move -> change(move, decide(nowMs, configuration, move, liveEntries)))
+        .flatMap(Optional::stream)
+        .toList();
+  }
+
+  /** Forgets everything; to be called when this replica stops leading. */
+  public void clear() {
+    supervised.clear();
+  }
+
+  /** Returns what will keep a service's move from finishing by its deadline, if that is seen. */
+  public Optional<String> risk(ServiceName service, long nowMs) {
+    return Optional.ofNullable(supervised.get(service))
+        .flatMap(known -> known.supervisor().risk(nowMs));
+  }
+
+  private MoveDecision decide(
+      long nowMs, Configuration configuration, VersionMove move, int liveEntries) {
+    Supervised known = supervised.get(move.service());
+    if (known == null || known.startMs() != move.startMs()) {
+      MoveTerms terms = MoveTerms.of(configuration, move.service());
+      known = new Supervised(move.startMs(), new MoveSupervisor(move, terms, nowMs));
+      supervised.put(move.service(), known);
+    }
+    return known.supervisor().tick(nowMs, move, liveEntries);
+  }
+
+  private static Optional<Change> change(VersionMove move, MoveDecision decision) {
+    return switch (decision) {
+      case MoveDecision.Hold hold -> Optional.empty();
+      case MoveDecision.Advance advance ->
+          Optional.of(
+              new Change.AdvanceMove(
+                  move.service(), move.to(), advance.sharePerMille(), advance.state()));
+      case MoveDecision.RollBack back ->
+          Optional.of(new Change.RollBackMove(move.service(), back.reason()));
+    };
+  }
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/Observation.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/Observation.java
@@ -30,6 +30,14 @@
     long headLatencyNanos,
     Optional<LoadReport> report,
     boolean cold) {
+  private static final double MAX_QUEUE_FACTOR = 4;
+
+  /** Returns about how long the request would have taken without the target's queue. */
+  long unqueuedNanos() {
+    double queue =
+        report.map(each -> (double) each.queued() / Math.max(1, each.slots())).orElse(0.0);
+    return (long) (headLatencyNanos / Math.min(MAX_QUEUE_FACTOR, 1 + queue));
+  }
 
   /** Returns what the outcome says of the version. */
   Verdict verdict() {
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/RecordingDispatcher.java
@@ -0,0 +1,114 @@
+package org.waxwingbeam.target.version;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import org.waxwingbeam.model.ServiceName;
+import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.model.VersionName;
+import org.waxwingbeam.target.Completion;
+import org.waxwingbeam.target.Decision;
+import org.waxwingbeam.target.DispatchRequest;
+import org.waxwingbeam.target.Dispatcher;
+import org.waxwingbeam.target.TargetAnnouncement;
+import org.waxwingbeam.target.TargetRegistry;
+
+/**
+ * Passes every call on to another dispatcher and records how the attempts of version moves end.
+ *
+ * <pre>{@code
+ * Dispatcher dispatcher = new RecordingDispatcher(entryDispatcher, registry, recorder);
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+public final class RecordingDispatcher implements Dispatcher {
+  private final Dispatcher dispatcher;
+  private final TargetRegistry registry;
+  private final EvidenceRecorder recorder;
+  private final ConcurrentMap<Long, Watched> watched = new ConcurrentHashMap<>();
+
+  private record Watched(DispatchRequest request, Optional<VersionName> version) {}
+
+  /**
+   * Creates a dispatcher.
+   *
+   * @param dispatcher decides
+   * @param registry tells which targets are cold
+   * @param recorder counts
+   */
+  public RecordingDispatcher(
+      Dispatcher dispatcher, TargetRegistry registry, EvidenceRecorder recorder) {
+    this.dispatcher = dispatcher;
+    this.registry = registry;
+    this.recorder = recorder;
+  }
+
+  @Override
+  public Decision request(long nowNanos, DispatchRequest request) {
+    if (recorder.watches(request.service())) {
+      watched.put(request.attemptId(), new Watched(request, Optional.empty()));
+    }
+    return noted(dispatcher.request(nowNanos, request));
+  }
+
+  @Override
+  public List<Decision> complete(long nowNanos, Completion completion) {
+    Watched attempt = watched.remove(completion.attemptId());
+    if (attempt != null) {
+      attempt.version().ifPresent(version -> record(nowNanos, attempt, version, completion));
+    }
+    return noted(dispatcher.complete(nowNanos, completion));
+  }
+
+  @Override
+  public void cancel(long nowNanos, long attemptId) {
+    watched.computeIfPresent(
+        attemptId, (id, attempt) -> attempt.version().isPresent() ? attempt : null);
+    dispatcher.cancel(nowNanos, attemptId);
+  }
+
+  @Override
+  public List<Decision> tick(long nowNanos) {
+    return noted(dispatcher.tick(nowNanos));
+  }
+
+  private List<Decision> noted(List<Decision> decisions) {
+    decisions.forEach(this::noted);
+    return decisions;
+  }
+
+  private Decision noted(Decision decision) {
+    switch (decision) {
+      case Decision.Assigned assigned ->
+          watched.computeIfPresent(
+              assigned.attemptId(),
+              (id, attempt) -> new Watched(attempt.request(), Optional.of(assigned.version())));
+      case Decision.Refused refused -> watched.remove(refused.attemptId());
+      case Decision.Queued queued -> {}
+    }
+    return decision;
+  }
+
+  private void record(long nowNanos, Watched attempt, VersionName version, Completion completion) {
+    ServiceName service = attempt.request().service();
+    recorder.record(
+        nowNanos,
+        new Observation(
+            service,
+            attempt.request().route(),
+            version,
+            completion.target(),
+            completion.outcome(),
+            completion.headLatencyNanos(),
+            completion.report(),
+            isCold(service, completion.target())));
+  }
+
+  private boolean isCold(ServiceName service, TargetId target) {
+    return registry.targets(service).stream()
+        .filter(each -> each.target().equals(target))
+        .anyMatch(each -> each.state() == TargetAnnouncement.State.COLD);
+  }
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/TrialTargets.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/TrialTargets.java
@@ -11,8 +11,14 @@
  * @since 0.1.0
  */
 public final class TrialTargets {
-  /** Least number of targets, so that one slow machine can be told from a slow version. */
-  public static final int MIN_TARGETS = 2;
+  /** Targets that take turns, so that one slow machine can be told from a slow version. */
+  private static final int TURNS = 2;
+
+  /** Targets beyond those that the share needs, once it needs several. */
+  private static final int SPARE = 1;
+
+  /** How long a target's turn lasts, in milliseconds. */
+  private static final long TURN_MS = 500;
 
   private static final int WHOLE_PER_MILLE = 1_000;
 
@@ -24,13 +30,25 @@
    * @param targets the new version's targets
    * @param sharePerMille the new version's share of the requests, 0 to 1,000
    * @param seed the same for every entry instance during a move, such as its start
+   * @param warmingUp whether one of the targets is in a cold start; all are used then, each within
+   *     its cold capacity, so that none is cold when the share rises
+   * @param nowMs the time, in milliseconds since the epoch; entry instances' clocks need not agree
    */
-  public static List<TargetId> limit(List<TargetId> targets, int sharePerMille, long seed) {
+  public static List<TargetId> limit(
+      List<TargetId> targets, int sharePerMille, long seed, boolean warmingUp, long nowMs) {
+    if (warmingUp) {
+      return targets;
+    }
     int needed = (int) Math.ceil((double) targets.size() * sharePerMille / WHOLE_PER_MILLE);
     Comparator<TargetId> order =
         Comparator.comparingLong((TargetId target) -> rank(target, seed))
             .thenComparing(Comparator.naturalOrder());
-    return targets.stream().sorted(order).limit(Math.max(MIN_TARGETS, needed)).toList();
+    List<TargetId> ordered = targets.stream().sorted(order).toList();
+    if (needed > 1 || ordered.size() < TURNS) {
+      return ordered.subList(0, Math.min(ordered.size(), needed + SPARE));
+    }
+    int turn = (int) Math.floorMod(nowMs / TURN_MS, (long) TURNS);
+    return List.of(ordered.get(turn));
   }
 
   private static long rank(TargetId target, long seed) {
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/versions/ModelRequest.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/versions/ModelRequest.java
@@ -16,6 +16,7 @@
   boolean fails;
   boolean crashes;
   boolean affected;
+  boolean sentCold;
 
   ModelRequest(
       ModelEntry entry,
