--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
@@ -9,9 +9,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Collectors;
 import org.waxwingbeam.caller.PoisonList;
 import org.waxwingbeam.caller.net.CallerServer;
 import org.waxwingbeam.caller.net.ClassifierCache;
@@ -20,6 +22,7 @@
 import org.waxwingbeam.caller.net.RequestIds;
 import org.waxwingbeam.caller.net.RetryBudgets;
 import org.waxwingbeam.control.AppliedConfiguration;
+import org.waxwingbeam.control.EntryView;
 import org.waxwingbeam.control.net.ControlClaimClient;
 import org.waxwingbeam.control.net.ControlClient;
 import org.waxwingbeam.daemon.StoppableNow;
@@ -29,6 +32,11 @@
 import org.waxwingbeam.metrics.net.MetricsServer;
 import org.waxwingbeam.model.Configuration;
 import org.waxwingbeam.model.ErrorKind;
+import org.waxwingbeam.model.InstanceName;
+import org.waxwingbeam.peer.AnnouncementSpread;
+import org.waxwingbeam.peer.SoftRecord;
+import org.waxwingbeam.peer.WarmthRecords;
+import org.waxwingbeam.peer.net.PeerNetwork;
 import org.waxwingbeam.platform.EntryCondition;
 import org.waxwingbeam.platform.net.PlatformServer;
 import org.waxwingbeam.settings.Endpoint;
@@ -37,6 +45,8 @@
 import org.waxwingbeam.target.DispatchSettings;
 import org.waxwingbeam.target.EntryDispatcher;
 import org.waxwingbeam.target.TargetRegistry;
+import org.waxwingbeam.target.Warmth;
+import org.waxwingbeam.target.WarmthTable;
 import org.waxwingbeam.target.net.AnnouncementServer;
 import org.waxwingbeam.target.net.TargetConnections;
 import org.waxwingbeam.wire.control.EntryMember;
@@ -58,6 +68,7 @@
   private static final long EXPIRY_TICK_MS = 100;
   private static final long DRAIN_POLL_MS = 20;
   private static final long MIN_DRAIN_MS = 500;
+  private static final long HANDOVER_NANOS = TimeUnit.SECONDS.toNanos(2);
 
   private final EntrySettings settings;
   private final EventLoopGroup group;
@@ -69,6 +80,9 @@
   private final AtomicBoolean hurried = new AtomicBoolean();
   private final ControlClient control;
   private final EntryMoves moves;
+  private final WarmthTable warmth;
+  private final AnnouncementSpread announcementSpread;
+  private final PeerNetwork peers;
   private final AnnouncementServer announcements;
   private final PlatformServer platform;
   private final PrometheusRegistry metrics = new PrometheusRegistry();
@@ -86,11 +100,21 @@
             settings.controls(),
             applied,
             this::onConfiguration);
+    warmth = new WarmthTable(found -> shareWarmth(found));
+    announcementSpread =
+        new AnnouncementSpread(settings.instance(), registry, record -> sharePeerRecord(record));
+    peers =
+        new PeerNetwork(
+            group,
+            new PeerNetwork.Identity(settings.instance(), token),
+            settings.peers(),
+            () -> control.leasedView().view(),
+            this::receive);
     announcements =
         AnnouncementServer.start(
             group,
             settings.targets(),
-            announcement -> registry.announce(System.nanoTime(), announcement));
+            announcement -> announcementSpread.announce(System.nanoTime(), announcement));
     metricsServer = MetricsServer.start(settings.metrics(), metrics);
     platform = new PlatformServer(group, settings.platform(), this::refusal);
     moves = new EntryMoves(settings.instance(), applied, control);
@@ -99,7 +123,7 @@
     control.start();
     repeat(gate::tick, DISPATCH_TICK_MS);
     repeat(moves::tick, EntryMoves.TICK_MS);
-    repeat(() -> registry.expire(System.nanoTime()), EXPIRY_TICK_MS);
+    repeat(this::expireAnnouncements, EXPIRY_TICK_MS);
   }
 
   /**
@@ -111,6 +135,28 @@
     return new EntryDaemon(settings, TokenFile.read(settings.tokenFile()));
   }
 
+  private void sharePeerRecord(SoftRecord record) {
+    peers.publish(record);
+  }
+
+  private void shareWarmth(Warmth found) {
+    LOG.info("target-warmth", "target", found.target(), "warm", found.warm());
+    peers.publish(WarmthRecords.toRecord(found));
+  }
+
+  private void receive(SoftRecord found) {
+    WarmthRecords.fromRecord(found).ifPresent(warmth::merge);
+    announcementSpread.receive(System.nanoTime(), found);
+  }
+
+  private void expireAnnouncements() {
+    Set<InstanceName> live =
+        control.leasedView().view().members().stream()
+            .map(EntryView.Member::name)
+            .collect(Collectors.toSet());
+    announcementSpread.expire(System.nanoTime(), live);
+  }
+
   private EntryMember member() {
     return EntryMember.newBuilder()
         .setName(settings.instance().value())
@@ -137,11 +183,13 @@
             .orElseThrow(
                 () -> new IllegalArgumentException("policy " + settings.choice().policy()));
     return new EntryDispatcher(
-        new DispatchSettings(settings.instance(), settings.dataCentre(), policy, System.nanoTime()),
+        new DispatchSettings(
+            settings.instance(), settings.dataCentre(), policy, HANDOVER_NANOS, System.nanoTime()),
         registry,
         applied::current,
         control::leasedView,
-        moves.selector());
+        moves.selector(),
+        warmth);
   }
 
   private ExchangeContext context(DispatchGate gate) {
@@ -213,6 +261,7 @@
     timers.forEach(timer -> timer.cancel(false));
     callers.close();
     control.close();
+    peers.close();
     announcements.close();
     platform.close();
     metricsServer.close();
--- /dev/null
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/peer/SoftStateTest.java
@@ -0,0 +1,50 @@
+package org.waxwingbeam.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.target.Warmth;
+
+class SoftStateTest {
+  private static final long MS = 1_000_000;
+
+  private final SoftState state = new SoftState();
+
+  @Test
+  void recordIsNewsOnce() {
+    assertThat(state.merge(0, List.of(record(1, 1)))).containsExactly(record(1, 1));
+    assertThat(state.merge(0, List.of(record(1, 1)))).isEmpty();
+  }
+
+  @Test
+  void lowerStartOrGenerationIsNoNews() {
+    state.merge(0, List.of(record(2, 5)));
+
+    assertThat(state.merge(0, List.of(record(1, 9), record(2, 4)))).isEmpty();
+    assertThat(state.merge(0, List.of(record(3, 1)))).containsExactly(record(3, 1));
+  }
+
+  @Test
+  void recordIsKeptForItsTimeToLive() {
+    state.merge(0, List.of(record(1, 1)));
+
+    assertThat(state.all(400 * MS).getFirst().timeToLiveMs()).isEqualTo(600);
+    assertThat(state.all(1_000 * MS)).isEmpty();
+  }
+
+  @Test
+  void warmthSurvivesTheWayToAnotherEntry() {
+    Warmth warmth = new Warmth(new TargetId("127.0.0.1", 9000), 7, 3, true, 12);
+
+    assertThat(WarmthRecords.fromRecord(WarmthRecords.toRecord(warmth)))
+        .isEqualTo(Optional.of(warmth));
+  }
+
+  private static SoftRecord record(long bootId, long generation) {
+    return new SoftRecord(SoftRecord.Kind.WARMTH, "a", bootId, generation, ByteString.EMPTY, 1_000);
+  }
+}
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -11,6 +11,8 @@
 import org.waxwingbeam.daemon.operate.OperateCommand;
 import org.waxwingbeam.settings.SettingsReader;
 import org.waxwingbeam.tools.choice.ChoiceMeasurement;
+import org.waxwingbeam.tools.choice.ColdMeasurement;
+import org.waxwingbeam.tools.choice.DataCentreMeasurement;
 import org.waxwingbeam.tools.demo.DemoReportCommand;
 import org.waxwingbeam.tools.load.LoadCommand;
 import org.waxwingbeam.tools.measure.MeasureCommand;
@@ -28,6 +30,8 @@
           new PathMeasurement(),
           new RequestMeasurement(),
           new ChoiceMeasurement(),
+          new ColdMeasurement(),
+          new DataCentreMeasurement(),
           new VersionsMeasurement(),
           new CapacityMeasurement());
   private static final List<Command> COMMANDS =
