--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/DaemonCommand.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/DaemonCommand.java
@@ -124,10 +124,9 @@
   private ExitCode serve(T settings, LogLevel level, PrintStream err) throws Exception {
     LogOutput.install(err, level);
     CountDownLatch told = new CountDownLatch(1);
-    CountDownLatch closed = new CountDownLatch(1);
     AtomicBoolean failed = new AtomicBoolean();
     try (AutoCloseable daemon = starter.start(settings)) {
-      Runtime.getRuntime().addShutdownHook(new Thread(() -> endAndWait(told, closed), "shutdown"));
+      StopSignals.install(told::countDown, () -> hurry(daemon));
       if (daemon instanceof FailingDaemon failing) {
         failing.whenFailed(() -> failAndEnd(failed, told));
       }
@@ -139,7 +138,6 @@
       failed.set(true);
     } finally {
       LOG.info("stopped", "daemon", name);
-      closed.countDown();
     }
     return failed.get() ? ExitCode.FAILED : ExitCode.OK;
   }
@@ -149,12 +147,9 @@
     told.countDown();
   }
 
-  private static void endAndWait(CountDownLatch told, CountDownLatch closed) {
-    told.countDown();
-    try {
-      closed.await();
-    } catch (InterruptedException interrupted) {
-      Thread.currentThread().interrupt();
+  private static void hurry(AutoCloseable daemon) {
+    if (daemon instanceof StoppableNow stoppable) {
+      stoppable.stopNow();
     }
   }
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Replica.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Replica.java
@@ -328,8 +328,7 @@
 
   /** Returns whether no other replica can lead, so that there is nobody to wait for. */
   private boolean isOnlyVoter() {
-    return log.membership().getVotersCount() == 1
-        && MembershipChange.isVoter(log.membership(), id);
+    return log.membership().getVotersCount() == 1 && MembershipChange.isVoter(log.membership(), id);
   }
 
   /**
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/control/ControlMeasurement.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/control/ControlMeasurement.java
@@ -28,8 +28,7 @@
   public MeasurementReport run(MeasurementOptions options) throws Exception {
     List<Table> tables = new ArrayList<>();
     List<Bound> bounds = new ArrayList<>();
-    for (Part part :
-        List.of(new FaultRuns(), new Restarts(), new MessageSizes())) {
+    for (Part part : List.of(new FaultRuns(), new Restarts(), new MessageSizes())) {
       MeasurementReport report = part.run(options);
       tables.addAll(report.tables());
       bounds.addAll(report.bounds());
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/control/FaultRuns.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/control/FaultRuns.java
@@ -34,12 +34,18 @@
     Table table =
         new Table(
             "Runs under faults, %d s simulated each".formatted(durationMs / 1_000),
-            List.of("replicas", "seed", "accepted", "conflicts", "terms", "crashes", "disks lost",
+            List.of(
+                "replicas",
+                "seed",
+                "accepted",
+                "conflicts",
+                "terms",
+                "crashes",
+                "disks lost",
                 "violation"),
             rows);
     return new MeasurementReport(
-        List.of(table),
-        List.of(new Bound("runs that broke a rule", violations, Limit.AT_MOST, 0)));
+        List.of(table), List.of(new Bound("runs that broke a rule", violations, Limit.AT_MOST, 0)));
   }
 
   private static List<String> row(int size, long seed, ReplicaRun.Report report) {
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/control/MessageSizes.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/control/MessageSizes.java
@@ -62,8 +62,7 @@
         .setView(
             EntryView.newBuilder()
                 .setNumber(1_000)
-                .addAllMembers(
-                    IntStream.range(0, entries).mapToObj(MessageSizes::member).toList()))
+                .addAllMembers(IntStream.range(0, entries).mapToObj(MessageSizes::member).toList()))
         .build();
   }
 
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/control/Restarts.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/control/Restarts.java
@@ -69,8 +69,7 @@
   private static Opened open(Path folder, Replica.Options options) throws IOException {
     Journal journal = Journal.open(DiskFolder.open(folder), () -> "replica-1");
     ReplicatedState state = new ReplicatedState(new NoClaims());
-    Replica replica =
-        new Replica(journal, state, new SplittableRandom(1), options, entry -> {}, 0);
+    Replica replica = new Replica(journal, state, new SplittableRandom(1), options, entry -> {}, 0);
     return new Opened(journal, replica);
   }
 
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/fakes/replica/JournalTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/fakes/replica/JournalTest.java
@@ -31,11 +31,7 @@
     assertThat(recovered)
         .isEqualTo(
             new Journal.Recovered(
-                LogSnapshot.getDefaultInstance(),
-                2,
-                "replica-b",
-                List.of(entry(1), entry(2)),
-                0));
+                LogSnapshot.getDefaultInstance(), 2, "replica-b", List.of(entry(1), entry(2)), 0));
   }
 
   @Test
@@ -134,8 +130,7 @@
     }
     operations[0] = crashAt;
     Journal.Recovered recovered = Journal.open(each, () -> "replica-a").takeRecovered();
-    assertThat(recovered.snapshot().getIndex() + recovered.entries().size())
-        .isAtLeast(durable);
+    assertThat(recovered.snapshot().getIndex() + recovered.entries().size()).isAtLeast(durable);
     assertThat(recovered.term()).isAtLeast(durable);
   }
 
