--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/EntryDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/EntryDispatcher.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.waxwingbeam.control.LeasedEntryView;
@@ -24,8 +25,11 @@
  * @since 0.1.0
  */
 public final class EntryDispatcher implements Dispatcher {
+  private static final long SWEEP_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
   private final VersionSelector versions;
   private final DispatchContext context;
+  private volatile long lastSweepNanos = Long.MIN_VALUE / 2;
   private final ConcurrentMap<Long, Attempt> attempts = new ConcurrentHashMap<>();
   private final ConcurrentMap<ServiceName, ServiceDispatcher> services = new ConcurrentHashMap<>();
 
@@ -37,22 +41,31 @@
    * @param configuration gives the configuration that this entry instance applies
    * @param view gives the live entry instances
    * @param versions selects the version for each attempt
+   * @param warmth which targets are past their cold start, shared with other entry instances
    */
   public EntryDispatcher(
       DispatchSettings settings,
       TargetRegistry registry,
       Supplier<Configuration> configuration,
       Supplier<LeasedEntryView> view,
-      VersionSelector versions) {
+      VersionSelector versions,
+      WarmthTable warmth) {
     this.versions = versions;
-    this.context = new DispatchContext(settings, registry, configuration, view, attempts);
+    this.context =
+        new DispatchContext(
+            settings,
+            registry,
+            configuration,
+            view,
+            versions,
+            warmth,
+            new DataCentreReturns(),
+            attempts);
   }
 
   @Override
   public Decision request(long nowNanos, DispatchRequest request) {
-    Optional<VersionName> version =
-        versions.select(
-            nowNanos, request.service(), request.account(), request.route(), request.idempotent());
+    Optional<VersionName> version = selectVersion(nowNanos, request);
     ServiceDispatcher dispatcher =
         services.computeIfAbsent(request.service(), name -> new ServiceDispatcher(name, context));
     Attempt attempt = new Attempt(request, version, dispatcher);
@@ -62,6 +75,13 @@
     }
   }
 
+  private Optional<VersionName> selectVersion(long nowNanos, DispatchRequest request) {
+    return request.excluded().isEmpty()
+        ? versions.select(
+            nowNanos, request.service(), request.account(), request.route(), request.idempotent())
+        : versions.selectRetry(nowNanos, request.service());
+  }
+
   @Override
   public List<Decision> complete(long nowNanos, Completion completion) {
     Attempt attempt = attempts.remove(completion.attemptId());
@@ -91,6 +111,11 @@
 
   @Override
   public List<Decision> tick(long nowNanos) {
+    context.returns().observe(context.configuration().get());
+    if (nowNanos - lastSweepNanos >= SWEEP_NANOS) {
+      lastSweepNanos = nowNanos;
+      context.registry().services().forEach(each -> sweep(nowNanos, each));
+    }
     return services.values().stream().flatMap(each -> tickIfWaiting(nowNanos, each)).toList();
   }
 
@@ -138,6 +163,13 @@
     }
   }
 
+  private void sweep(long nowNanos, ServiceName service) {
+    ServiceDispatcher dispatcher = dispatcher(service);
+    synchronized (dispatcher) {
+      dispatcher.sweep(nowNanos);
+    }
+  }
+
   private ServiceDispatcher dispatcher(ServiceName service) {
     return services.computeIfAbsent(service, name -> new ServiceDispatcher(name, context));
   }
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -11,6 +11,8 @@
 import org.waxwingbeam.daemon.operate.OperateCommand;
 import org.waxwingbeam.settings.SettingsReader;
 import org.waxwingbeam.tools.choice.ChoiceMeasurement;
+import org.waxwingbeam.tools.choice.ColdMeasurement;
+import org.waxwingbeam.tools.choice.DataCentreMeasurement;
 import org.waxwingbeam.tools.demo.DemoReportCommand;
 import org.waxwingbeam.tools.load.LoadCommand;
 import org.waxwingbeam.tools.measure.MeasureCommand;
@@ -29,6 +31,8 @@
           new PathMeasurement(),
           new RequestMeasurement(),
           new ChoiceMeasurement(),
+          new ColdMeasurement(),
+          new DataCentreMeasurement(),
           new VersionsMeasurement(),
           new ControlMeasurement(),
           new CapacityMeasurement());
