--- a/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/control/ControlClusterTest.java
+++ b/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/control/ControlClusterTest.java
@@ -8,22 +8,21 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -47,6 +46,8 @@
   private static final String TOKEN = "token-of-the-processes";
   private static final String OPERATOR_TOKEN = "token-of-the-operators";
   private static final int REPLICAS = 3;
+  private static final int FIRST_PORT = 21_000;
+  private static final AtomicInteger CLUSTERS = new AtomicInteger();
   private static final long SILENT_MS = 2_000;
   private static final long WAIT_MS = 60_000;
 
@@ -59,7 +60,7 @@
 
   @BeforeEach
   void start() throws Exception {
-    addresses = freeAddresses(3 * REPLICAS);
+    addresses = ownAddresses(3 * REPLICAS);
     for (int each = 0; each < REPLICAS; each++) {
       startReplica(each);
     }
@@ -205,17 +206,18 @@
         Files.writeString(folder.resolve("operator-token"), OPERATOR_TOKEN));
   }
 
-  private static List<Endpoint> freeAddresses(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
-    for (int each = 0; each < count; each++) {
-      sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
-    }
-    List<Endpoint> found = new ArrayList<>();
-    for (ServerSocket socket : sockets) {
-      found.add(new Endpoint("127.0.0.1", socket.getLocalPort()));
-      socket.close();
-    }
-    return found;
+  /**
+   * Returns addresses that no other process uses: a loopback host of this process alone, on which no
+   * ephemeral port is ever taken, and a port range for each test.
+   */
+  private static List<Endpoint> ownAddresses(int count) {
+    long pid = ProcessHandle.current().pid();
+    String host =
+        "127.%d.%d.%d".formatted(1 + (pid >> 16) % 250, (pid >> 8) % 256, 1 + pid % 250);
+    int first = FIRST_PORT + count * CLUSTERS.getAndIncrement();
+    return IntStream.range(first, first + count)
+        .mapToObj(port -> new Endpoint(host, port))
+        .toList();
   }
 
   private ControlClient client(AppliedConfiguration applied) {
@@ -287,9 +289,8 @@
   }
 
   private HttpResponse<String> send(int each, String method, String path, String body) {
-    int port = daemons.get(each).operatorsPort();
     HttpRequest request =
-        HttpRequest.newBuilder(URI.create("http://127.0.0.1:%d%s".formatted(port, path)))
+        HttpRequest.newBuilder(URI.create("http://%s%s".formatted(addresses.get(2 * REPLICAS + each), path)))
             .header("authorization", "Bearer " + OPERATOR_TOKEN)
             .method(method, HttpRequest.BodyPublishers.ofString(body))
             .build();
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/AnswerFramingTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/AnswerFramingTest.java
@@ -123,9 +123,8 @@
     try (HostileTarget target = new HostileTarget(early);
         EntryFixture entry = entry(target);
         RawCaller caller = new RawCaller(entry.endpoint())) {
-      caller.send(
-          "POST /uploads/x HTTP/1.1\r\nhost: alpha.orders.example\r\ncontent-length: 90000\r\n"
-              + "\r\n");
+      caller.send("POST /uploads/x HTTP/1.1\r\nhost: alpha.orders.example\r\n");
+      caller.send("content-length: 90000\r\n\r\n");
       caller.send("a".repeat(1_000));
       RawAnswer answer = caller.readAnswer(false).orElseThrow();
 
