--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/WholePathTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/WholePathTest.java
@@ -91,7 +91,7 @@
       while (!errorOf(entry).equals("data-centre-out")) {
         Thread.sleep(10);
       }
-      Thread stop = Thread.ofVirtual().start(() -> close(entry));
+      final Thread stop = Thread.ofVirtual().start(() -> close(entry));
       while (!errorOf(entry).equals("shutting-down")) {
         Thread.sleep(10);
       }
