--- a/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/control/ControlClusterTest.java
+++ b/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/control/ControlClusterTest.java
@@ -207,13 +207,12 @@
   }
 
   /**
-   * Returns addresses that no other process uses: a loopback host of this process alone, on which no
-   * ephemeral port is ever taken, and a port range for each test.
+   * Returns addresses that no other process uses: a loopback host of this process alone, on which
+   * no ephemeral port is ever taken, and a port range for each test.
    */
   private static List<Endpoint> ownAddresses(int count) {
     long pid = ProcessHandle.current().pid();
-    String host =
-        "127.%d.%d.%d".formatted(1 + (pid >> 16) % 250, (pid >> 8) % 256, 1 + pid % 250);
+    String host = "127.%d.%d.%d".formatted(1 + (pid >> 16) % 250, (pid >> 8) % 256, 1 + pid % 250);
     int first = FIRST_PORT + count * CLUSTERS.getAndIncrement();
     return IntStream.range(first, first + count)
         .mapToObj(port -> new Endpoint(host, port))
@@ -290,7 +289,8 @@
 
   private HttpResponse<String> send(int each, String method, String path, String body) {
     HttpRequest request =
-        HttpRequest.newBuilder(URI.create("http://%s%s".formatted(addresses.get(2 * REPLICAS + each), path)))
+        HttpRequest.newBuilder(
+                URI.create("http://%s%s".formatted(addresses.get(2 * REPLICAS + each), path)))
             .header("authorization", "Bearer " + OPERATOR_TOKEN)
             .method(method, HttpRequest.BodyPublishers.ofString(body))
             .build();
