--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/TransferTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/TransferTest.java
@@ -64,7 +64,7 @@
   }
 
   @Test
-  void transferThatTakesTooLongIsCutVisibly() throws Exception {
+  void transferBeyondItsTotalLimitIsCutVisibly() throws Exception {
     Parameters parameters = Parameters.NONE.with(Parameter.TRANSFER_TOTAL, 60);
     assertThat(download(connection -> send(connection, new CountDownLatch(1)), parameters))
         .isEmpty();
@@ -84,8 +84,9 @@
         EntryFixture entry = entry(target, parameters);
         RawCaller caller = new RawCaller(entry.endpoint())) {
       caller.send(
-          "POST /uploads/x HTTP/1.1\r\nhost: alpha.orders.example\r\ncontent-length: 200000\r\n"
-              + "\r\n");
+          DOWNLOAD
+              .replace("GET /transfers/interview", "POST /uploads/x")
+              .replace("\r\n\r\n", "\r\ncontent-length: 200000\r\n\r\n"));
       for (int i = 0; i < 20; i++) {
         caller.send("u".repeat(10_000));
         Thread.sleep(10);
