--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
@@ -51,7 +51,6 @@
 import org.waxwingbeam.target.WarmthTable;
 import org.waxwingbeam.target.net.AnnouncementServer;
 import org.waxwingbeam.target.net.TargetConnections;
-import org.waxwingbeam.target.version.VersionSelector;
 import org.waxwingbeam.wire.control.EntryMember;
 
 /**
@@ -85,6 +84,7 @@
   private final AtomicBoolean stopping = new AtomicBoolean();
   private final AtomicBoolean hurried = new AtomicBoolean();
   private final ControlClient control;
+  private final EntryMoves moves;
   private final WarmthTable warmth;
   private final AnnouncementSpread announcementSpread;
   private final PeerNetwork peers;
@@ -122,10 +122,12 @@
             announcement -> announcementSpread.announce(System.nanoTime(), announcement));
     metricsServer = MetricsServer.start(settings.metrics(), metrics);
     platform = new PlatformServer(group, settings.platform(), this::refusal);
-    DispatchGate gate = new DispatchGate(dispatcher(), System::nanoTime);
+    moves = new EntryMoves(settings.instance(), applied, control);
+    DispatchGate gate = new DispatchGate(moves.recording(dispatcher(), registry), System::nanoTime);
     callers = new CallerServer(group, settings.callers(), settings.callerLimits(), context(gate));
     control.start();
     repeat(gate::tick, DISPATCH_TICK_MS);
+    repeat(moves::tick, EntryMoves.TICK_MS);
     repeat(this::expireAnnouncements, EXPIRY_TICK_MS);
     repeat(this::sharePoison, POISON_TICK_MS);
   }
@@ -203,7 +205,7 @@
         registry,
         applied::current,
         control::leasedView,
-        VersionSelector.ANY,
+        moves.selector(),
         warmth);
   }
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/SettingsTable.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/SettingsTable.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.waxwingbeam.logging.LogLevel;
+import org.waxwingbeam.target.ChoicePolicy;
 import org.waxwingbeam.text.Quantity;
 
 /**
@@ -72,9 +73,9 @@
       optional(
           "choice",
           "policy",
-          NAME,
-          "least-outstanding",
-          "Name of the policy that chooses targets.");
+          new SettingType.Choice(List.copyOf(ChoicePolicy.all().keySet())),
+          ChoicePolicy.DEFAULT_NAME,
+          "Policy that chooses targets.");
   static final SettingKey LOG_LEVEL =
       optional(
           "log",
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -18,6 +18,7 @@
 import org.waxwingbeam.tools.measure.MeasureCommand;
 import org.waxwingbeam.tools.measure.Measurement;
 import org.waxwingbeam.tools.measure.capacity.CapacityMeasurement;
+import org.waxwingbeam.tools.measure.control.ControlMeasurement;
 import org.waxwingbeam.tools.measure.requests.RequestMeasurement;
 import org.waxwingbeam.tools.measure.versions.VersionsMeasurement;
 import org.waxwingbeam.tools.path.PathMeasurement;
@@ -33,6 +34,7 @@
           new ColdMeasurement(),
           new DataCentreMeasurement(),
           new VersionsMeasurement(),
+          new ControlMeasurement(),
           new CapacityMeasurement());
   private static final List<Command> COMMANDS =
       List.of(
