--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/choice/ChoiceScenario.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/choice/ChoiceScenario.java
@@ -57,7 +57,8 @@
     }
   }
 
+  /** Time before requests are counted, longer than the ramp of targets that turn warm. */
   static long warmUpNanos() {
-    return TimeUnit.MILLISECONDS.toNanos(500);
+    return TimeUnit.MILLISECONDS.toNanos(1_250);
   }
 }
