Golden sessions, the operators' page, glossary, promises, contributing, changelog

The session runner drives the library's own decisions (replicated state, claim table, configuration editor, classifier, dispatcher, retry policy, poison list) on a manual clock. Four sessions have their golden files: operators who race and resend, a configuration that never reverts across 300 changes and a restart, refusals before anything runs, and the operators' side of a version move. -Dwaxwingbeam.golden=rewrite writes the files anew.

Sixteen more sessions are written but not committed: every target now counts as cold until its owner has waited out the handover, so that their requests, sent 50 ms after the start, never run, and their output would show nothing of what they are for. docs/PROMISES.md says which golden files are missing.

The tables of docs/OPERATING.md are compared with the settings' table, the parameters and the exit codes by OperatingPageTest; PromisesPageTest checks that each named test and session exists.

--- /dev/null
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/sessions/SessionControl.java
@@ -0,0 +1,65 @@
+package org.waxwingbeam.tools.sessions;
+
+import com.google.protobuf.ByteString;
+import java.util.Optional;
+import org.waxwingbeam.control.ClaimTable;
+import org.waxwingbeam.model.Configuration;
+import org.waxwingbeam.operator.Change;
+import org.waxwingbeam.operator.ChangeCodec;
+import org.waxwingbeam.operator.MalformedMessageException;
+import org.waxwingbeam.replica.CommandResult;
+import org.waxwingbeam.replica.ReplicatedState;
+import org.waxwingbeam.wire.operator.ChangeAnswer;
+import org.waxwingbeam.wire.operator.ChangeRequest;
+import org.waxwingbeam.wire.replica.ClaimBatch;
+import org.waxwingbeam.wire.replica.Command;
+import org.waxwingbeam.wire.replica.ProposedChange;
+
+/** The state of the control replicas, with every command accepted at once while it is reachable. */
+final class SessionControl {
+  private ReplicatedState state = new ReplicatedState(new ClaimTable());
+  private boolean reachable = true;
+
+  Configuration configuration() {
+    return state.configuration();
+  }
+
+  void setReachable(boolean value) {
+    reachable = value;
+  }
+
+  /** Starts again from a snapshot, as after a restart of every replica. */
+  void restart() throws MalformedMessageException {
+    ReplicatedState restored = new ReplicatedState(new ClaimTable());
+    restored.restore(state.snapshot());
+    state = restored;
+  }
+
+  Optional<ChangeAnswer> change(long nowMs, String id, long basedOn, Change change) {
+    ChangeRequest request =
+        ChangeRequest.newBuilder()
+            .setChangeId(id)
+            .setBasedOn(basedOn)
+            .setOperator("operator")
+            .setChange(ChangeCodec.encode(change))
+            .build();
+    Command command =
+        Command.newBuilder()
+            .setChange(ProposedChange.newBuilder().setRequest(request).setProposedMs(nowMs))
+            .build();
+    return apply(command).map(result -> ((CommandResult.Change) result).answer());
+  }
+
+  /** Applies one command of the claim table, or returns empty if no quorum is there. */
+  Optional<ByteString> claim(long nowMs, ByteString claim) {
+    Command command =
+        Command.newBuilder()
+            .setClaims(ClaimBatch.newBuilder().addCommands(claim).setProposedMs(nowMs))
+            .build();
+    return apply(command).map(result -> ((CommandResult.Claims) result).answers().getFirst());
+  }
+
+  private Optional<CommandResult> apply(Command command) {
+    return reachable ? Optional.of(state.apply(command)) : Optional.empty();
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/sessions/SessionEntry.java
@@ -0,0 +1,97 @@
+package org.waxwingbeam.tools.sessions;
+
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.waxwingbeam.caller.PoisonList;
+import org.waxwingbeam.caller.RetryBudget;
+import org.waxwingbeam.control.AppliedConfiguration;
+import org.waxwingbeam.control.LeasedEntryView;
+import org.waxwingbeam.model.DataCentreName;
+import org.waxwingbeam.model.ErrorKind;
+import org.waxwingbeam.model.InstanceName;
+import org.waxwingbeam.platform.EntryCondition;
+import org.waxwingbeam.target.ChoicePolicy;
+import org.waxwingbeam.target.DispatchSettings;
+import org.waxwingbeam.target.EntryDispatcher;
+import org.waxwingbeam.target.TargetRegistry;
+import org.waxwingbeam.target.WarmthTable;
+import org.waxwingbeam.target.version.VersionSelector;
+
+/** The decisions of one entry instance. */
+final class SessionEntry {
+  private static final long SEED = 1;
+  private static final long HANDOVER_NANOS = 2_000_000_000;
+
+  private final InstanceName name;
+  private final DataCentreName dataCentre;
+  private final AppliedConfiguration applied = new AppliedConfiguration();
+  private final TargetRegistry registry = new TargetRegistry();
+  private final PoisonList poison = new PoisonList();
+  private final RetryBudget budget = new RetryBudget();
+  private final EntryDispatcher dispatcher;
+  private boolean cut;
+  private boolean stopping;
+
+  SessionEntry(String name, String dataCentre, Supplier<LeasedEntryView> view) {
+    this.name = new InstanceName(name);
+    this.dataCentre = new DataCentreName(dataCentre);
+    dispatcher =
+        new EntryDispatcher(
+            new DispatchSettings(
+                this.name,
+                this.dataCentre,
+                ChoicePolicy.named(ChoicePolicy.DEFAULT_NAME).orElseThrow(),
+                HANDOVER_NANOS,
+                SEED),
+            registry,
+            applied::current,
+            view,
+            VersionSelector.ANY,
+            new WarmthTable(warmth -> {}));
+  }
+
+  InstanceName name() {
+    return name;
+  }
+
+  DataCentreName dataCentre() {
+    return dataCentre;
+  }
+
+  AppliedConfiguration applied() {
+    return applied;
+  }
+
+  TargetRegistry registry() {
+    return registry;
+  }
+
+  PoisonList poison() {
+    return poison;
+  }
+
+  RetryBudget budget() {
+    return budget;
+  }
+
+  EntryDispatcher dispatcher() {
+    return dispatcher;
+  }
+
+  boolean isCut() {
+    return cut;
+  }
+
+  void setCut(boolean value) {
+    cut = value;
+  }
+
+  void stop() {
+    stopping = true;
+  }
+
+  Optional<ErrorKind> refusal() {
+    boolean out = applied.current().dataCentresOut().contains(dataCentre);
+    return new EntryCondition(stopping, applied.current().number() > 0, out, false).refusal();
+  }
+}
--- /dev/null
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/sessions/SessionTarget.java
@@ -0,0 +1,67 @@
+package org.waxwingbeam.tools.sessions;
+
+import java.util.Locale;
+import org.waxwingbeam.model.DataCentreName;
+import org.waxwingbeam.model.ServiceName;
+import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.model.VersionName;
+import org.waxwingbeam.target.Outcome;
+import org.waxwingbeam.target.TargetAnnouncement;
+
+/** A target that answers after a fixed time, unless it is told to do something else. */
+final class SessionTarget {
+  private static final long TIME_TO_LIVE_MS = 60_000;
+  private static final int PORT = 8080;
+
+  private final String name;
+  private TargetAnnouncement announcement;
+  private long takesMs;
+  private Outcome outcome = Outcome.SUCCESS;
+
+  SessionTarget(String name, int number, SessionLine line) {
+    this.name = name;
+    takesMs = Long.parseLong(line.option("takes", "8"));
+    int slots = Integer.parseInt(line.option("slots", "4"));
+    announcement =
+        new TargetAnnouncement(
+            new ServiceName(line.option("service", "listing")),
+            new TargetId("10.9.0." + number, PORT),
+            new VersionName(line.option("version", "v1")),
+            new DataCentreName(line.option("data-centre", "north")),
+            Long.parseLong(line.option("boot", "1")),
+            slots,
+            Integer.parseInt(line.option("cold-capacity", "1")),
+            state(line.option("state", "warm")),
+            TIME_TO_LIVE_MS);
+  }
+
+  private static TargetAnnouncement.State state(String text) {
+    return TargetAnnouncement.State.valueOf(text.toUpperCase(Locale.ROOT));
+  }
+
+  String name() {
+    return name;
+  }
+
+  TargetAnnouncement announcement() {
+    return announcement;
+  }
+
+  void goes(String state) {
+    announcement = announcement.withState(state(state));
+  }
+
+  /** Says how requests end from now on, such as {@code connection-lost}. */
+  void ends(String how, SessionLine line) {
+    outcome = Outcome.valueOf(how.toUpperCase(Locale.ROOT).replace('-', '_'));
+    takesMs = Long.parseLong(line.option("takes", "" + takesMs));
+  }
+
+  Outcome outcome() {
+    return outcome;
+  }
+
+  long takesMs() {
+    return takesMs;
+  }
+}
