An entry that is cut off from control and from most other entries stops taking requests

Cause: the condition 'isolated' was constantly false, so an entry whose lease had run out served on whatever it reached. Entries now share a presence record every 500 ms, kept for 2 s; an entry whose freshness lease has run out and that hears fewer than half of the others answers 'isolated' (not run) and is unready. Ruled out: counting connections, since only hubs are connected to many. PeerReachTest holds the rule on a manual clock, and WholePathTest on daemons: two entries without control serve on, the one left alone stops.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
@@ -35,6 +35,7 @@
 import org.waxwingbeam.model.ErrorKind;
 import org.waxwingbeam.model.InstanceName;
 import org.waxwingbeam.peer.AnnouncementSpread;
+import org.waxwingbeam.peer.PeerReach;
 import org.waxwingbeam.peer.PoisonRecords;
 import org.waxwingbeam.peer.SoftRecord;
 import org.waxwingbeam.peer.WarmthRecords;
@@ -84,6 +85,7 @@
   private final AtomicBoolean stopping = new AtomicBoolean();
   private final AtomicBoolean hurried = new AtomicBoolean();
   private final ControlClient control;
+  private final PeerReach reach;
   private final EntryMoves moves;
   private final WarmthTable warmth;
   private final AnnouncementSpread announcementSpread;
@@ -105,6 +107,7 @@
             settings.controls(),
             applied,
             this::onConfiguration);
+    reach = new PeerReach(settings.instance(), bootId);
     warmth = new WarmthTable(found -> shareWarmth(found));
     announcementSpread =
         new AnnouncementSpread(settings.instance(), registry, record -> sharePeerRecord(record));
@@ -130,6 +133,7 @@
     repeat(moves::tick, EntryMoves.TICK_MS);
     repeat(this::expireAnnouncements, EXPIRY_TICK_MS);
     repeat(this::sharePoison, POISON_TICK_MS);
+    repeat(() -> peers.publish(reach.presence()), PeerReach.PRESENCE_PERIOD_MS);
   }
 
   /**
@@ -152,6 +156,7 @@
 
   private void receive(SoftRecord found) {
     WarmthRecords.fromRecord(found).ifPresent(warmth::merge);
+    reach.receive(System.nanoTime(), found);
     PoisonRecords.fromRecord(found).ifPresent(record -> poison.merge(System.nanoTime(), record));
     announcementSpread.receive(System.nanoTime(), found);
   }
@@ -240,10 +245,14 @@
             stopping.get(),
             configuration.number() > 0,
             configuration.dataCentresOut().contains(settings.dataCentre()),
-            false);
+            isIsolated());
     return condition.refusal();
   }
 
+  private boolean isIsolated() {
+    return !control.isFresh() && reach.isMinority(System.nanoTime(), control.leasedView().view());
+  }
+
   /** Returns where targets post their announcements. */
   public Endpoint targets() {
     InetSocketAddress address = announcements.address();
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/peer/RecordCodec.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/peer/RecordCodec.java
@@ -38,6 +38,7 @@
               case VERSION_SUSPICION -> Record.Kind.VERSION_SUSPICION;
               case POISON_REQUEST -> Record.Kind.POISON_REQUEST;
               case ANNOUNCEMENT -> Record.Kind.ANNOUNCEMENT;
+              case PRESENCE -> Record.Kind.PRESENCE;
             })
         .setKey(record.key())
         .setBootId(record.bootId())
@@ -66,6 +67,7 @@
       case VERSION_SUSPICION -> Optional.of(Kind.VERSION_SUSPICION);
       case POISON_REQUEST -> Optional.of(Kind.POISON_REQUEST);
       case ANNOUNCEMENT -> Optional.of(Kind.ANNOUNCEMENT);
+      case PRESENCE -> Optional.of(Kind.PRESENCE);
       case KIND_UNSPECIFIED, UNRECOGNIZED -> Optional.empty();
     };
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/peer/SoftRecord.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/peer/SoftRecord.java
@@ -30,6 +30,8 @@
     /** A request that crashes targets. */
     POISON_REQUEST,
     /** What a target says of itself. */
-    ANNOUNCEMENT
+    ANNOUNCEMENT,
+    /** An entry instance that is running. */
+    PRESENCE
   }
 }
--- /dev/null
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/peer/PeerReachTest.java
@@ -0,0 +1,80 @@
+package org.waxwingbeam.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.waxwingbeam.control.EntryView;
+import org.waxwingbeam.model.DataCentreName;
+import org.waxwingbeam.model.InstanceName;
+import org.waxwingbeam.settings.Endpoint;
+
+class PeerReachTest {
+  private static final long MS = 1_000_000;
+  private static final EntryView FIVE = view("e1", "e2", "e3", "e4", "e5");
+
+  private final PeerReach reach = new PeerReach(new InstanceName("e1"), 1);
+
+  @Test
+  void fewerThanHalfOfTheOthersIsMinority() {
+    hear(0, "e2");
+
+    assertThat(reach.isMinority(0, FIVE)).isTrue();
+  }
+
+  @Test
+  void halfOfTheOthersIsNoMinority() {
+    hear(0, "e2");
+    hear(0, "e3");
+
+    assertThat(reach.isMinority(0, FIVE)).isFalse();
+  }
+
+  @Test
+  void presenceEndsWithItsTimeToLive() {
+    hear(0, "e2");
+    hear(0, "e3");
+
+    assertThat(reach.isMinority(1_999 * MS, FIVE)).isFalse();
+    assertThat(reach.isMinority(2_000 * MS, FIVE)).isTrue();
+  }
+
+  @Test
+  void instancesOutsideTheViewDoNotCount() {
+    hear(0, "e8");
+    hear(0, "e9");
+
+    assertThat(reach.isMinority(0, FIVE)).isTrue();
+  }
+
+  @Test
+  void onlyInstanceIsNoMinority() {
+    assertThat(reach.isMinority(0, view("e1"))).isFalse();
+  }
+
+  @Test
+  void recordsOfOtherKindsAreNoPresence() {
+    reach.receive(0, new SoftRecord(SoftRecord.Kind.WARMTH, "e2", 1, 1, ByteString.EMPTY, 2_000));
+
+    assertThat(reach.isMinority(0, view("e1", "e2"))).isTrue();
+  }
+
+  private void hear(long nowNanos, String name) {
+    reach.receive(nowNanos, new PeerReach(new InstanceName(name), 1).presence());
+  }
+
+  private static EntryView view(String... names) {
+    List<EntryView.Member> members =
+        Stream.of(names)
+            .map(
+                name ->
+                    new EntryView.Member(
+                        new InstanceName(name),
+                        new DataCentreName("north"),
+                        new Endpoint("127.0.0.1", 0)))
+            .toList();
+    return new EntryView(1, members);
+  }
+}
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/WholePathTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/WholePathTest.java
@@ -40,6 +40,12 @@
 class WholePathTest {
   private static final int NOT_LEADING_YET = 503;
   private static final Endpoint ANY = new Endpoint("127.0.0.1", 0);
+  private static final long LEASE_END_MS = 4_000;
+
+  /** Addresses on a loopback host of this process alone, on which no ephemeral port is taken. */
+  private static final List<Endpoint> PEERS =
+      List.of(new Endpoint(ownHost(), 9_001), new Endpoint(ownHost(), 9_002));
+
   private static final String REQUEST =
       "GET /listings/one HTTP/1.1\r\nhost: alpha.orders.example\r\n\r\n";
 
@@ -103,6 +109,34 @@
     }
   }
 
+  @Test
+  void entriesThatHearEachOtherServeOnWithoutControlAndTheOneThatIsLeftAloneStops()
+      throws Exception {
+    Files.writeString(folder.resolve("token"), "token-for-this-test-only");
+    ControlDaemon control = ControlDaemon.start(controlSettings(), new ClaimTable());
+    try (EntryDaemon left = EntryDaemon.start(entrySettings(control, "entry-1", PEERS.get(0)))) {
+      try (EntryDaemon right = EntryDaemon.start(entrySettings(control, "entry-2", PEERS.get(1)))) {
+        configure(control);
+        awaitReady(left);
+        awaitReady(right);
+        Thread.sleep(LEASE_END_MS);
+        control.close();
+        Thread.sleep(LEASE_END_MS);
+
+        assertThat(errorOf(left)).isEqualTo("no-target");
+        assertThat(errorOf(right)).isEqualTo("no-target");
+      }
+      Thread.sleep(LEASE_END_MS);
+
+      assertThat(errorOf(left)).isEqualTo("isolated");
+    }
+  }
+
+  private static String ownHost() {
+    long pid = ProcessHandle.current().pid();
+    return "127.%d.%d.%d".formatted(1 + pid / 62_500 % 250, pid / 250 % 250, 1 + pid % 250);
+  }
+
   private static void close(EntryDaemon entry) {
     try {
       entry.close();
@@ -199,13 +233,17 @@
   }
 
   private EntrySettings entrySettings(ControlDaemon control) {
+    return entrySettings(control, "entry-1", ANY);
+  }
+
+  private EntrySettings entrySettings(ControlDaemon control, String name, Endpoint peers) {
     return new EntrySettings(
-        new InstanceName("entry-1"),
+        new InstanceName(name),
         new DataCentreName("north"),
         ANY,
         ANY,
         ANY,
-        ANY,
+        peers,
         ANY,
         List.of(new Endpoint("127.0.0.1", control.entriesPort())),
         folder.resolve("token"),
