--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Attempt.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Attempt.java
@@ -10,6 +10,7 @@
   private final ServiceDispatcher dispatcher;
   private TargetState target;
   private long boundNanos;
+  private long boundBootId;
 
   /**
    * Creates an attempt that has no target yet.
@@ -46,9 +47,15 @@
 
   void bind(long nowNanos, TargetState chosen) {
     boundNanos = nowNanos;
+    boundBootId = chosen.announcement().bootId();
     target = chosen;
   }
 
+  /** Returns the start of the target's process that was known when the attempt was given it. */
+  long boundBootId() {
+    return boundBootId;
+  }
+
   /** Returns when the attempt was given its target. */
   long boundNanos() {
     return boundNanos;
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/ServiceDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/ServiceDispatcher.java
@@ -113,6 +113,10 @@
     if (completion.outcome() == Outcome.SUCCESS) {
       target.noteLatency(nowNanos, latency);
     }
+    if (completion.outcome() == Outcome.REFUSED_DRAINING) {
+      context.registry().drain(target.id(), attempt.boundBootId());
+      targets.refresh(nowNanos);
+    }
     if (target.coldStart().isCold()) {
       noteEndWhileCold(nowNanos, target, completion);
     } else {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/TargetRegistry.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/TargetRegistry.java
@@ -123,6 +123,24 @@
                 : entry);
   }
 
+  /**
+   * Notes that a target has begun to drain, as it said in an answer. Does nothing if the target has
+   * started anew since.
+   *
+   * @param target the target
+   * @param bootId the start of its process that has begun to drain
+   */
+  public synchronized void drain(TargetId target, long bootId) {
+    Entry known = entries.get(target);
+    if (known == null || !known.live || known.announcement.bootId() != bootId) {
+      return;
+    }
+    TargetAnnouncement draining = known.announcement.withState(State.DRAINING);
+    entries.put(target, new Entry(draining, known.expiryNanos, true, known.voucher));
+    live.get(draining.service()).put(target, draining);
+    publish(draining.service());
+  }
+
   /**
    * Removes the targets whose announcements were not repeated in time.
    *
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/EntryDispatcherTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/EntryDispatcherTest.java
@@ -100,6 +100,19 @@
         .isEqualTo(new Decision.Refused(1, ErrorKind.NO_TARGET, 1_000));
   }
 
+  @Test
+  void targetThatRefusedAsDrainingGetsNothingNewUntilItsNextStart() {
+    registry.announce(0, announcement(9000, State.WARM));
+    warm(9000);
+    dispatcher.request(0, request(1));
+    dispatcher.complete(
+        1, new Completion(1, id(9000), Outcome.REFUSED_DRAINING, 1, Optional.empty()));
+    registry.announce(2, announcement(9000, State.WARM));
+
+    assertThat(dispatcher.request(2, request(2)))
+        .isEqualTo(new Decision.Refused(2, ErrorKind.NO_TARGET, 1_000));
+  }
+
   @Test
   void dataCentreThatIsOutGetsNothingNew() {
     registry.announce(0, announcement(9000, State.WARM));
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/sessions/Session.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/sessions/Session.java
@@ -66,6 +66,7 @@
         world.announce(world.target(line.word(1)));
       }
       case "ends" -> world.target(line.word(1)).ends(line.word(3), line);
+      case "is-found-warm" -> world.findWarm(world.target(line.word(1)));
       case "announces-again" -> world.announce(world.target(line.word(1)));
       default -> throw unknown(line);
     }
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/sessions/SessionEntry.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/sessions/SessionEntry.java
@@ -1,6 +1,7 @@
 package org.waxwingbeam.tools.sessions;
 
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.waxwingbeam.caller.PoisonList;
 import org.waxwingbeam.caller.RetryBudget;
@@ -14,6 +15,7 @@
 import org.waxwingbeam.target.DispatchSettings;
 import org.waxwingbeam.target.EntryDispatcher;
 import org.waxwingbeam.target.TargetRegistry;
+import org.waxwingbeam.target.Warmth;
 import org.waxwingbeam.target.WarmthTable;
 import org.waxwingbeam.target.version.VersionSelector;
 
@@ -28,11 +30,14 @@
   private final TargetRegistry registry = new TargetRegistry();
   private final PoisonList poison = new PoisonList();
   private final RetryBudget budget = new RetryBudget();
+  private final WarmthTable warmth;
   private final EntryDispatcher dispatcher;
   private boolean cut;
   private boolean stopping;
 
-  SessionEntry(String name, String dataCentre, Supplier<LeasedEntryView> view) {
+  SessionEntry(
+      String name, String dataCentre, Supplier<LeasedEntryView> view, Consumer<Warmth> findings) {
+    warmth = new WarmthTable(findings);
     this.name = new InstanceName(name);
     this.dataCentre = new DataCentreName(dataCentre);
     dispatcher =
@@ -47,7 +52,7 @@
             applied::current,
             view,
             VersionSelector.ANY,
-            new WarmthTable(warmth -> {}));
+            warmth);
   }
 
   InstanceName name() {
@@ -66,6 +71,10 @@
     return registry;
   }
 
+  WarmthTable warmth() {
+    return warmth;
+  }
+
   PoisonList poison() {
     return poison;
   }
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/sessions/SessionWorld.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/sessions/SessionWorld.java
@@ -17,6 +17,8 @@
 import org.waxwingbeam.operator.Change;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.target.Decision;
+import org.waxwingbeam.target.TargetAnnouncement;
+import org.waxwingbeam.target.Warmth;
 import org.waxwingbeam.wire.operator.ChangeAnswer;
 
 /** Holds every actor of a session and writes down what each of them sees. */
@@ -51,7 +53,7 @@
   }
 
   void addEntry(String name, String dataCentre) {
-    entries.put(name, new SessionEntry(name, dataCentre, this::view));
+    entries.put(name, new SessionEntry(name, dataCentre, this::view, this::shareWarmth));
     deliverNewest(entries.get(name));
     tick(name);
   }
@@ -80,7 +82,7 @@
 
   /** Drops what an entry instance held in memory, as its process does when it ends. */
   void restartEntry(String name, String dataCentre) {
-    SessionEntry fresh = new SessionEntry(name, dataCentre, this::view);
+    SessionEntry fresh = new SessionEntry(name, dataCentre, this::view, this::shareWarmth);
     entries.put(name, fresh);
     claim(fresh, ClaimCodec.encodeEntryGone(new InstanceName(name)));
     deliverNewest(fresh);
@@ -116,6 +118,17 @@
         .forEach(entry -> entry.registry().announce(clock.nowNanos(), target.announcement()));
   }
 
+  /** Tells every entry instance that a target has passed its cold start. */
+  void findWarm(SessionTarget target) {
+    TargetAnnouncement announcement = target.announcement();
+    long number = control.configuration().number();
+    shareWarmth(new Warmth(announcement.target(), announcement.bootId(), 1, true, number));
+  }
+
+  private void shareWarmth(Warmth found) {
+    clock.after(NETWORK_MS, () -> entries.values().forEach(entry -> entry.warmth().merge(found)));
+  }
+
   /** Sends an operator's change to the control replicas and prints their answer. */
   void change(String operator, String id, long basedOn, Change change) {
     Optional<ChangeAnswer> answer = control.change(clock.nowMs(), id, basedOn, change);
