--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/capacity/ControlPlan.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/capacity/ControlPlan.java
@@ -13,7 +13,16 @@
   static final int FRAME_BYTES = 48;
 
   /** Lease renewals that one receiver needs each second. */
-  static final double RENEWALS_PER_S = 1;
+  static final double RENEWALS_PER_S = 2;
+
+  /** Heartbeats that the leader sends to each other voter each second. */
+  static final double HEARTBEATS_PER_S = 4;
+
+  /** What one entry instance adds to the view that is sent whole after each of its changes. */
+  static final int VIEW_BYTES_PER_ENTRY = 40;
+
+  /** Changes of the view: each entry instance leaves and comes back once a day. */
+  static final double VIEW_CHANGES_PER_S = 2.0 * TargetSize.ENTRIES / TargetSize.SECONDS_PER_DAY;
 
   /** Returns the daemons that the plan sets aside. */
   int instances() {
@@ -28,16 +37,21 @@
   /** Returns the bytes a second that the leader sends to the other voters and its relays. */
   double leaderBytesPerS() {
     int relays = Math.ceilDiv(TargetSize.DATA_CENTRES, VOTERS);
-    return perReceiverBytesPerS() * (VOTERS - 1 + relays);
+    return perReceiverBytesPerS() * (VOTERS - 1 + relays) + heartbeatBytesPerS();
   }
 
   /** Returns the bytes a second if the leader fed every entry instance itself. */
   double unrelayedLeaderBytesPerS() {
-    return perReceiverBytesPerS() * (VOTERS - 1 + TargetSize.ENTRIES);
+    return perReceiverBytesPerS() * (VOTERS - 1 + TargetSize.ENTRIES) + heartbeatBytesPerS();
+  }
+
+  private static double heartbeatBytesPerS() {
+    return HEARTBEATS_PER_S * FRAME_BYTES * (VOTERS - 1);
   }
 
   private double perReceiverBytesPerS() {
     double changes = TargetSize.CHANGES_PER_S * (changeBytes + FRAME_BYTES);
-    return changes + RENEWALS_PER_S * FRAME_BYTES;
+    double views = VIEW_CHANGES_PER_S * VIEW_BYTES_PER_ENTRY * TargetSize.ENTRIES;
+    return changes + views + RENEWALS_PER_S * FRAME_BYTES;
   }
 }
