--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/model/VersionMove.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/model/VersionMove.java
@@ -23,6 +23,18 @@
     State state,
     String reason) {
 
+  /**
+   * Returns the same move at another stage.
+   *
+   * @param newSharePerMille the part of the requests that the new version receives, 0 to 1,000
+   * @param newState how far the move has come
+   * @param newReason why it was rolled back, or empty text
+   */
+  public VersionMove withProgress(int newSharePerMille, State newState, String newReason) {
+    return new VersionMove(
+        service, from, to, startMs, deadlineMs, newSharePerMille, newState, newReason);
+  }
+
   /** Tells how far a move has come. */
   public enum State {
     /** The share is being raised. */
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/operator/MoveRules.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/operator/MoveRules.java
@@ -158,15 +158,7 @@
 
   static VersionMove advance(Configuration configuration, Change.AdvanceMove advance) {
     VersionMove move = configuration.moves().get(advance.service());
-    return new VersionMove(
-        move.service(),
-        move.from(),
-        move.to(),
-        move.startMs(),
-        move.deadlineMs(),
-        advance.sharePerMille(),
-        advance.state(),
-        "");
+    return move.withProgress(advance.sharePerMille(), advance.state(), "");
   }
 
   static List<Fault> rollBackFaults(Configuration configuration, Change.RollBackMove back) {
@@ -187,14 +179,6 @@
 
   static VersionMove rollBack(Configuration configuration, Change.RollBackMove back) {
     VersionMove move = configuration.moves().get(back.service());
-    return new VersionMove(
-        move.service(),
-        move.from(),
-        move.to(),
-        move.startMs(),
-        move.deadlineMs(),
-        0,
-        VersionMove.State.ROLLED_BACK,
-        back.reason());
+    return move.withProgress(0, VersionMove.State.ROLLED_BACK, back.reason());
   }
 }
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/Main.java
@@ -10,18 +10,19 @@
 import org.waxwingbeam.daemon.entry.EntryDaemon;
 import org.waxwingbeam.daemon.operate.OperateCommand;
 import org.waxwingbeam.settings.SettingsReader;
-import org.waxwingbeam.tools.choice.ChoiceMeasurement;
-import org.waxwingbeam.tools.choice.ColdMeasurement;
-import org.waxwingbeam.tools.choice.DataCentreMeasurement;
+import org.waxwingbeam.tools.demo.DemoCommand;
 import org.waxwingbeam.tools.demo.DemoReportCommand;
 import org.waxwingbeam.tools.load.LoadCommand;
 import org.waxwingbeam.tools.measure.MeasureCommand;
 import org.waxwingbeam.tools.measure.Measurement;
 import org.waxwingbeam.tools.measure.capacity.CapacityMeasurement;
+import org.waxwingbeam.tools.measure.choice.ChoiceMeasurement;
+import org.waxwingbeam.tools.measure.choice.ColdMeasurement;
+import org.waxwingbeam.tools.measure.choice.DataCentreMeasurement;
 import org.waxwingbeam.tools.measure.control.ControlMeasurement;
+import org.waxwingbeam.tools.measure.path.PathMeasurement;
 import org.waxwingbeam.tools.measure.requests.RequestMeasurement;
 import org.waxwingbeam.tools.measure.versions.VersionsMeasurement;
-import org.waxwingbeam.tools.path.PathMeasurement;
 import org.waxwingbeam.tools.standin.TargetCommand;
 
 /** Starts the program with every command: the shipped daemons' and the tools'. */
@@ -47,6 +48,7 @@
           new OperateCommand(),
           new TargetCommand(),
           new LoadCommand(),
+          new DemoCommand(),
           new DemoReportCommand(),
           new ErrorsCommand(),
           new MeasureCommand(MEASUREMENTS));
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/choice/ColdRun.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/choice/ColdRun.java
@@ -1,4 +1,4 @@
-package org.waxwingbeam.tools.choice;
+package org.waxwingbeam.tools.measure.choice;
 
 import java.util.SplittableRandom;
 import java.util.TreeMap;
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/choice/DataCentreMeasurement.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/choice/DataCentreMeasurement.java
@@ -1,4 +1,4 @@
-package org.waxwingbeam.tools.choice;
+package org.waxwingbeam.tools.measure.choice;
 
 import java.util.List;
 import java.util.function.ToDoubleFunction;
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/choice/DataCentreRun.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/choice/DataCentreRun.java
@@ -1,15 +1,15 @@
-package org.waxwingbeam.tools.choice;
+package org.waxwingbeam.tools.measure.choice;
 
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.waxwingbeam.model.DataCentreName;
 import org.waxwingbeam.target.ChoicePolicy;
-import org.waxwingbeam.tools.choice.ColdRun.Configurations;
 import org.waxwingbeam.tools.fakes.FakeEntry.Hedging;
 import org.waxwingbeam.tools.fakes.FakeFleet;
 import org.waxwingbeam.tools.fakes.FakeTarget;
 import org.waxwingbeam.tools.fakes.FleetShape;
+import org.waxwingbeam.tools.measure.choice.ColdRun.Configurations;
 
 /** Takes a data centre out under load while entries are cut off, and brings it back. */
 final class DataCentreRun {
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/path/PathFixture.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/path/PathFixture.java
@@ -1,4 +1,4 @@
-package org.waxwingbeam.tools.path;
+package org.waxwingbeam.tools.measure.path;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/path/PathMeasurement.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/path/PathMeasurement.java
@@ -1,4 +1,4 @@
-package org.waxwingbeam.tools.path;
+package org.waxwingbeam.tools.measure.path;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/path/ThreadUsage.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/path/ThreadUsage.java
@@ -1,4 +1,4 @@
-package org.waxwingbeam.tools.path;
+package org.waxwingbeam.tools.measure.path;
 
 import com.sun.management.ThreadMXBean;
 import java.lang.management.ManagementFactory;
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/path/package-info.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/path/package-info.java
@@ -1,2 +1,2 @@
 /** Measures what an entry instance adds to the way from a caller to a target. */
-package org.waxwingbeam.tools.path;
+package org.waxwingbeam.tools.measure.path;
