--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/choice/ChoiceMeasurement.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/choice/ChoiceMeasurement.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToDoubleFunction;
 import org.waxwingbeam.target.ChoicePolicy;
@@ -63,22 +64,25 @@
     return new MeasurementReport(tables, bounds);
   }
 
+  /** Runs every policy, several at a time; each run has a clock and targets of its own. */
   private static Map<String, FleetRecord> compare(
       MeasurementOptions options, ChoiceScenario scenario, int load) {
-    Map<String, FleetRecord> records = new LinkedHashMap<>();
     long nanos = options.brief() ? BRIEF_NANOS : LONG_NANOS;
+    Map<String, ChoiceRun> runs = new LinkedHashMap<>();
     ChoicePolicy.all()
         .forEach(
             (name, policy) ->
-                records.put(
+                runs.put(
                     name,
-                    new ChoiceRun(FleetShape.LISTING, policy, Hedging.NONE, scenario, load, nanos)
-                        .run(options.seeds())));
+                    new ChoiceRun(
+                        FleetShape.LISTING, policy, Hedging.NONE, scenario, load, nanos)));
     ChoicePolicy chosen = ChoicePolicy.named(CHOSEN).orElseThrow();
-    records.put(
-        HEDGED,
-        new ChoiceRun(FleetShape.LISTING, chosen, HEDGING, scenario, load, nanos)
-            .run(options.seeds()));
+    runs.put(HEDGED, new ChoiceRun(FleetShape.LISTING, chosen, HEDGING, scenario, load, nanos));
+    Map<String, FleetRecord> found = new ConcurrentHashMap<>();
+    runs.entrySet().parallelStream()
+        .forEach(each -> found.put(each.getKey(), each.getValue().run(options.seeds())));
+    Map<String, FleetRecord> records = new LinkedHashMap<>();
+    runs.keySet().forEach(name -> records.put(name, found.get(name)));
     return records;
   }
 
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/control/FaultRuns.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/control/FaultRuns.java
@@ -1,6 +1,5 @@
 package org.waxwingbeam.tools.measure.control;
 
-import java.util.ArrayList;
 import java.util.List;
 import org.waxwingbeam.tools.fakes.replica.InvariantViolation;
 import org.waxwingbeam.tools.fakes.replica.ReplicaRun;
@@ -19,18 +18,9 @@
   @Override
   public MeasurementReport run(MeasurementOptions options) {
     long durationMs = options.brief() ? BRIEF_DURATION_MS : DURATION_MS;
-    List<List<String>> rows = new ArrayList<>();
-    int violations = 0;
-    for (int size : SIZES) {
-      for (long seed : options.seeds().toArray()) {
-        try {
-          rows.add(row(size, seed, new ReplicaRun(seed, size).run(durationMs)));
-        } catch (InvariantViolation violation) {
-          violations++;
-          rows.add(failedRow(size, seed, violation));
-        }
-      }
-    }
+    List<Row> rows =
+        SIZES.stream().flatMap(size -> rows(options, size, durationMs).stream()).toList();
+    long violations = rows.stream().filter(Row::violated).count();
     Table table =
         new Table(
             "Runs under faults, %d s simulated each".formatted(durationMs / 1_000),
@@ -43,12 +33,25 @@
                 "crashes",
                 "disks lost",
                 "violation"),
-            rows);
+            rows.stream().map(Row::cells).toList());
     return new MeasurementReport(
         List.of(table), List.of(new Bound("runs that broke a rule", violations, Limit.AT_MOST, 0)));
   }
 
-  private static List<String> row(int size, long seed, ReplicaRun.Report report) {
+  /** Runs every seed, several at a time; each run has a clock, a network and disks of its own. */
+  private static List<Row> rows(MeasurementOptions options, int size, long durationMs) {
+    return options.seeds().parallel().mapToObj(seed -> runOnce(size, seed, durationMs)).toList();
+  }
+
+  private static Row runOnce(int size, long seed, long durationMs) {
+    try {
+      return new Row(cells(size, seed, new ReplicaRun(seed, size).run(durationMs)), false);
+    } catch (InvariantViolation violation) {
+      return new Row(failedCells(size, seed, violation), true);
+    }
+  }
+
+  private static List<String> cells(int size, long seed, ReplicaRun.Report report) {
     return List.of(
         Integer.toString(size),
         Long.toString(seed),
@@ -60,7 +63,7 @@
         "none");
   }
 
-  private static List<String> failedRow(int size, long seed, InvariantViolation violation) {
+  private static List<String> failedCells(int size, long seed, InvariantViolation violation) {
     return List.of(
         Integer.toString(size),
         Long.toString(seed),
@@ -71,4 +74,12 @@
         "-",
         violation.getMessage());
   }
+
+  /**
+   * One run.
+   *
+   * @param cells its row of the table
+   * @param violated whether it broke a rule
+   */
+  private record Row(List<String> cells, boolean violated) {}
 }
