An entry daemon reads its start time once

The boot id stood in a field, and three other places read the clock again for the same thing, so one start of an entry could show different ids to control, to its peers and in request ids. All use the field now. bin/test: 333 tests, green.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
@@ -185,7 +185,7 @@
         .setDataCentre(settings.dataCentre().value())
         .setPeersHost(settings.peers().host())
         .setPeersPort(settings.peers().port())
-        .setBootId(System.currentTimeMillis())
+        .setBootId(bootId)
         .build();
   }
 
@@ -222,7 +222,7 @@
         this::refusal,
         this::share,
         new RetryBudgets(),
-        new RequestIds(requestPrefix(), System.currentTimeMillis()),
+        new RequestIds(requestPrefix(), bootId),
         settings.instance(),
         new ControlClaimClient(control, group.next()),
         poison,
@@ -231,7 +231,7 @@
   }
 
   private String requestPrefix() {
-    return "%s-%x-".formatted(settings.instance().value(), System.currentTimeMillis());
+    return "%s-%x-".formatted(settings.instance().value(), bootId);
   }
 
   private void repeat(Runnable task, long periodMs) {
