--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
@@ -40,8 +40,8 @@
 import org.waxwingbeam.peer.SoftRecord;
 import org.waxwingbeam.peer.WarmthRecords;
 import org.waxwingbeam.peer.net.PeerNetwork;
-import org.waxwingbeam.platform.EntryCondition;
-import org.waxwingbeam.platform.net.PlatformServer;
+import org.waxwingbeam.readiness.EntryCondition;
+import org.waxwingbeam.readiness.net.ReadinessServer;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.settings.EntrySettings;
 import org.waxwingbeam.target.ChoicePolicy;
@@ -91,7 +91,7 @@
   private final AnnouncementSpread announcementSpread;
   private final PeerNetwork peers;
   private final AnnouncementServer announcements;
-  private final PlatformServer platform;
+  private final ReadinessServer platform;
   private final PrometheusRegistry metrics = new PrometheusRegistry();
   private final MetricsServer metricsServer;
   private final CallerServer callers;
@@ -124,10 +124,10 @@
             settings.targets(),
             announcement -> announcementSpread.announce(System.nanoTime(), announcement));
     metricsServer = MetricsServer.start(settings.metrics(), metrics);
-    platform = new PlatformServer(group, settings.platform(), this::refusal);
+    platform = new ReadinessServer(group, settings.platform(), this::refusal);
     moves = new EntryMoves(settings.instance(), applied, control);
     DispatchGate gate = new DispatchGate(moves.recording(dispatcher(), registry), System::nanoTime);
-    callers = new CallerServer(group, settings.callers(), settings.callerLimits(), context(gate));
+    callers = new CallerServer(group, settings.callers(), settings::callerLimits, context(gate));
     control.start();
     repeat(gate::tick, DISPATCH_TICK_MS);
     repeat(moves::tick, EntryMoves.TICK_MS);
@@ -219,6 +219,7 @@
         gate,
         new TargetConnections(),
         new ClassifierCache(applied),
+        ExchangeContext.Protocols.NATIVE,
         this::refusal,
         this::share,
         new RetryBudgets(),
--- /dev/null
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/CrashSightings.java
@@ -0,0 +1,42 @@
+package org.waxwingbeam.daemon.routed;
+
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.waxwingbeam.caller.PoisonRecord;
+import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.wire.feed.CrashSighting;
+
+/** Translates between the wire form and the records of requests that crash targets. */
+final class CrashSightings {
+  private CrashSightings() {}
+
+  static CrashSighting encode(PoisonRecord record) {
+    return CrashSighting.newBuilder()
+        .setFingerprint(record.fingerprint())
+        .setPrefix(record.prefix())
+        .addAllTargets(record.targets().stream().map(TargetId::toString).sorted().toList())
+        .setAgeMs(record.ageMs())
+        .setRetentionMs(record.retentionMs())
+        .build();
+  }
+
+  static PoisonRecord decode(CrashSighting sighting) {
+    return new PoisonRecord(
+        sighting.getFingerprint(),
+        sighting.getPrefix(),
+        sighting.getTargetsList().stream()
+            .map(CrashSightings::target)
+            .flatMap(Optional::stream)
+            .collect(Collectors.toUnmodifiableSet()),
+        sighting.getAgeMs(),
+        sighting.getRetentionMs());
+  }
+
+  private static Optional<TargetId> target(String text) {
+    int colon = text.lastIndexOf(':');
+    return colon < 1
+        ? Optional.empty()
+        : Optional.of(
+            new TargetId(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1))));
+  }
+}
--- /dev/null
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/MoveRunner.java
@@ -0,0 +1,70 @@
+package org.waxwingbeam.daemon.routed;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.waxwingbeam.logging.EventLog;
+import org.waxwingbeam.operator.RoutingMachine;
+import org.waxwingbeam.target.placement.MoveCourse;
+import org.waxwingbeam.wire.feed.VersionEvidence;
+import org.waxwingbeam.wire.routing.RoutingChange;
+import org.waxwingbeam.wire.routing.ServiceMove;
+
+/** Carries out the moves between versions at the replica that leads. */
+final class MoveRunner {
+  private static final EventLog LOG = new EventLog(MoveRunner.class);
+
+  private final RoutingMachine routing;
+  private final Consumer<RoutingChange> proposer;
+  private final Map<String, MoveCourse> courses = new HashMap<>();
+
+  /**
+   * Creates a runner.
+   *
+   * @param routing what has been ordered
+   * @param proposer puts a change into the log
+   */
+  MoveRunner(RoutingMachine routing, Consumer<RoutingChange> proposer) {
+    this.routing = routing;
+    this.proposer = proposer;
+  }
+
+  /** Takes what an entry instance has seen of a move. */
+  void observe(VersionEvidence evidence) {
+    MoveCourse course = courses.get(evidence.getService());
+    if (course != null && course.number() == evidence.getMove()) {
+      course.observe(evidence);
+    }
+  }
+
+  /** Advances every move that is due. */
+  void tick(long nowNanos) {
+    routing.state().getMovesList().stream()
+        .filter(each -> each.getState() == ServiceMove.State.RUNNING)
+        .forEach(each -> advance(nowNanos, each));
+  }
+
+  private void advance(long nowNanos, ServiceMove move) {
+    MoveCourse course = courses.get(move.getService());
+    if (course == null || course.number() != move.getNumber()) {
+      course = new MoveCourse(nowNanos, move);
+      courses.put(move.getService(), course);
+    }
+    course
+        .next(nowNanos, move)
+        .ifPresent(
+            next -> {
+              LOG.info(
+                  "move-advanced",
+                  "service",
+                  next.getService(),
+                  "to",
+                  next.getTo(),
+                  "state",
+                  next.getState(),
+                  "share_per_mille",
+                  next.getSharePerMille());
+              proposer.accept(RoutingChange.newBuilder().setAdvanceMove(next).build());
+            });
+  }
+}
--- /dev/null
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
@@ -0,0 +1,363 @@
+package org.waxwingbeam.daemon.routed;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.waxwingbeam.control.ClaimTable;
+import org.waxwingbeam.control.net.FeedServer;
+import org.waxwingbeam.logging.EventLog;
+import org.waxwingbeam.model.InstanceName;
+import org.waxwingbeam.replica.CommandResult;
+import org.waxwingbeam.replica.DiskFolder;
+import org.waxwingbeam.replica.Journal;
+import org.waxwingbeam.replica.ProposalOutcome;
+import org.waxwingbeam.replica.Replica;
+import org.waxwingbeam.replica.ReplicatedState;
+import org.waxwingbeam.replica.net.ReplicaHost;
+import org.waxwingbeam.settings.Endpoint;
+import org.waxwingbeam.target.TargetDirectory;
+import org.waxwingbeam.wire.feed.ControlFrame;
+import org.waxwingbeam.wire.feed.EntryFrame;
+import org.waxwingbeam.wire.feed.TargetRecord;
+import org.waxwingbeam.wire.replica.Command;
+import org.waxwingbeam.wire.replica.ReplicaMember;
+import org.waxwingbeam.wire.routing.RoutingChange;
+import org.waxwingbeam.wire.routing.RoutingState;
+
+/**
+ * Runs a control replica for routed services: keeps what operators order in the replicated log,
+ * takes what targets report, and streams both to the entry instances.
+ *
+ * <p>All methods but {@link #start} are called on the event loop of the group.
+ *
+ * <pre>{@code
+ * try (RoutedControl control = RoutedControl.start(group, settings, onFailure)) {
+ *   control.order(change, outcome -> answer(outcome));
+ * }
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+public final class RoutedControl implements AutoCloseable {
+  private static final EventLog LOG = new EventLog(RoutedControl.class);
+  private static final int ID_BYTES = 8;
+
+  /** The system's own processes share a network of their own and no credential. */
+  private static final String NO_CREDENTIAL = "";
+
+  /** Longest wait for entry instances before a target that leaves gets its answer. */
+  private static final long APPLY_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
+  private final Settings settings;
+  private final Journal journal;
+  private final ReplicatedState state;
+  private final ReplicaHost host;
+  private final FeedServer feed;
+  private final MoveRunner moves;
+  private final TargetDirectory targets = new TargetDirectory();
+  private final Runnable onFailure;
+  private long publishedRevision;
+
+  /**
+   * States where a replica runs.
+   *
+   * @param instance its name in logs
+   * @param replicas where it takes other replicas
+   * @param entries where it takes entry instances; the port is the same on all instances
+   * @param seeds where the first replicas take other replicas
+   * @param dataFolder where its log is
+   * @param mayCreate whether the whole system starts for the first time
+   * @param wantedVoters the number of replicas that decide
+   */
+  public record Settings(
+      InstanceName instance,
+      Endpoint replicas,
+      Endpoint entries,
+      List<Endpoint> seeds,
+      Path dataFolder,
+      boolean mayCreate,
+      int wantedVoters) {
+    /** Copies the list. */
+    public Settings {
+      seeds = List.copyOf(seeds);
+    }
+  }
+
+  private RoutedControl(
+      EventLoopGroup group, Settings settings, Journal journal, Runnable onFailure)
+      throws IOException {
+    this.settings = settings;
+    this.journal = journal;
+    this.onFailure = onFailure;
+    state = new ReplicatedState(new ClaimTable());
+    Replica replica =
+        new Replica(
+            journal,
+            state,
+            new SecureRandom(),
+            Replica.Options.DEFAULT,
+            entry -> {},
+            System.nanoTime());
+    ReplicaHost.Settings hostSettings =
+        new ReplicaHost.Settings(
+            settings.replicas(),
+            settings.entries(),
+            settings.seeds(),
+            NO_CREDENTIAL,
+            new ReplicaHost.Growth(settings.mayCreate(), settings.wantedVoters()));
+    host = new ReplicaHost(group, replica, hostSettings, new HostListener());
+    moves = new MoveRunner(state.routing(), this::propose);
+    feed = new FeedServer(group, settings.entries(), new FeedSource(), this::receive);
+  }
+
+  /**
+   * Starts a replica.
+   *
+   * @param group its one event loop runs everything
+   * @param settings where it runs
+   * @param onFailure called once if the disk fails; the replica takes no part any more
+   * @throws IOException if the data folder cannot be used or trusted
+   */
+  public static RoutedControl start(EventLoopGroup group, Settings settings, Runnable onFailure)
+      throws IOException {
+    Journal journal = Journal.open(DiskFolder.open(settings.dataFolder()), RoutedControl::newId);
+    RoutedControl control = new RoutedControl(group, settings, journal, onFailure);
+    control.host.start();
+    LOG.info(
+        "control-started",
+        "instance",
+        settings.instance(),
+        "replica",
+        journal.replicaId(),
+        "data",
+        settings.dataFolder(),
+        "may_create",
+        settings.mayCreate(),
+        "seeds",
+        settings.seeds());
+    return control;
+  }
+
+  private static String newId() {
+    byte[] bytes = new byte[ID_BYTES];
+    new SecureRandom().nextBytes(bytes);
+    return HexFormat.of().formatHex(bytes);
+  }
+
+  /**
+   * Takes what a target reports of itself.
+   *
+   * @param record the report
+   * @param receiver called once: whether the report may be acknowledged
+   */
+  public void report(TargetRecord record, Consumer<Boolean> receiver) {
+    long now = System.nanoTime();
+    boolean leaving = record.getState() != TargetRecord.State.READY;
+    if (leaving && !host.replica().isInTouch(now)) {
+      LOG.warn("target-leave-refused", "target", record.getId(), "reason", "no-majority");
+      receiver.accept(false);
+      return;
+    }
+    TargetDirectory.Merge merged = targets.merge(now, record);
+    if (merged == TargetDirectory.Merge.CHANGED) {
+      logTarget(record);
+      targets.find(now, record.getId()).ifPresent(feed::publish);
+    }
+    if (leaving) {
+      feed.whenApplied(APPLY_TIMEOUT_NANOS, receiver);
+    } else {
+      receiver.accept(true);
+    }
+  }
+
+  private static void logTarget(TargetRecord record) {
+    LOG.info(
+        "target-changed",
+        "target",
+        record.getId(),
+        "address",
+        record.getHost() + ":" + record.getPort(),
+        "service",
+        record.getService(),
+        "version",
+        record.getVersion(),
+        "data_centre",
+        record.getDataCentre(),
+        "state",
+        record.getState(),
+        "report",
+        record.getReport(),
+        "started_ms",
+        record.getStartedMs(),
+        "cold_left_ms",
+        record.getColdLeftMs());
+  }
+
+  /**
+   * Puts an operator's order into the log.
+   *
+   * @param change the order
+   * @param receiver called once with what became of it
+   */
+  public void order(RoutingChange change, Consumer<OrderOutcome> receiver) {
+    host.propose(
+        Command.newBuilder().setRouting(change).build(),
+        outcome -> {
+          OrderOutcome result = outcomeOf(outcome);
+          LOG.info(
+              "order",
+              "kind",
+              change.getKindCase(),
+              "version",
+              change.getPutDocument().getDocument().getVersion(),
+              "outcome",
+              result,
+              "detail",
+              outcome,
+              "revision",
+              state.routing().state().getRevision());
+          receiver.accept(result);
+        });
+  }
+
+  private OrderOutcome outcomeOf(ProposalOutcome outcome) {
+    return switch (outcome) {
+      case ProposalOutcome.Applied applied -> new OrderOutcome.Accepted();
+      case ProposalOutcome.NotLeader follower -> new OrderOutcome.Elsewhere(leaderHost());
+      case ProposalOutcome.Refused refused -> new OrderOutcome.Unknown();
+      case ProposalOutcome.Unknown unknown -> new OrderOutcome.Unknown();
+    };
+  }
+
+  private void propose(RoutingChange change) {
+    host.propose(
+        Command.newBuilder().setRouting(change).build(),
+        outcome -> {
+          if (!(outcome instanceof ProposalOutcome.Applied applied
+              && applied.result() instanceof CommandResult.Routing)) {
+            LOG.warn("move-change-lost", "move", change.getAdvanceMove(), "outcome", outcome);
+          }
+        });
+  }
+
+  private Optional<String> leaderHost() {
+    return host.leaderAddress().map(Endpoint::host);
+  }
+
+  /** Returns what has been ordered, if no other replica can know more. */
+  public ReadOutcome read() {
+    return host.holdsLease(System.nanoTime())
+        ? new ReadOutcome.Newest(state.routing().state(), state.routing().source())
+        : new ReadOutcome.Elsewhere(leaderHost());
+  }
+
+  private void receive(String entry, EntryFrame frame) {
+    switch (frame.getKindCase()) {
+      case CRASH -> feed.relay(entry, ControlFrame.newBuilder().setCrash(frame.getCrash()).build());
+      case LOADS -> feed.relay(entry, ControlFrame.newBuilder().setLoads(frame.getLoads()).build());
+      case EVIDENCE -> moves.observe(frame.getEvidence());
+      case GREETING, PULSE, KIND_NOT_SET -> {}
+    }
+  }
+
+  private void publishRouting() {
+    RoutingState present = state.routing().state();
+    if (present.getRevision() > publishedRevision) {
+      publishedRevision = present.getRevision();
+      LOG.info(
+          "routing-applied",
+          "revision",
+          present.getRevision(),
+          "document",
+          present.getDocument().getVersion(),
+          "data_centres_out",
+          present.getDataCentresOutList(),
+          "moves",
+          present.getMovesCount());
+      feed.publish(present);
+    }
+  }
+
+  @Override
+  public void close() {
+    feed.close();
+    host.close();
+    try {
+      journal.close();
+    } catch (IOException failed) {
+      LOG.warn("journal-close-failed", "reason", failed.getMessage());
+    }
+  }
+
+  /** Gives the feed what this replica knows. */
+  private final class FeedSource implements FeedServer.Source {
+    @Override
+    public RoutingState routing() {
+      return state.routing().state();
+    }
+
+    @Override
+    public List<TargetRecord> targets() {
+      return targets.all(System.nanoTime());
+    }
+
+    @Override
+    public List<String> replicas() {
+      return Stream.concat(
+              host.replica().membership().getVotersList().stream(),
+              host.replica().membership().getLearnersList().stream())
+          .map(ReplicaMember::getHost)
+          .map(each -> new Endpoint(each, settings.entries().port()).toString())
+          .distinct()
+          .toList();
+    }
+  }
+
+  /** Connects the replica with what it serves. */
+  private final class HostListener implements ReplicaHost.Listener {
+    @Override
+    public void leads(long nowNanos) {
+      LOG.info(
+          "replica-leads",
+          "instance",
+          settings.instance(),
+          "replica",
+          journal.replicaId(),
+          "term",
+          host.replica().term());
+    }
+
+    @Override
+    public void applied() {
+      publishRouting();
+    }
+
+    @Override
+    public void ticked(long nowNanos) {
+      feed.tick(nowNanos);
+      if (host.holdsLease(nowNanos)) {
+        moves.tick(nowNanos);
+      }
+    }
+
+    @Override
+    public void failed(IOException reason) {
+      LOG.error(
+          "replica-failed",
+          "instance",
+          settings.instance(),
+          "replica",
+          journal.replicaId(),
+          "reason",
+          reason.getMessage());
+      onFailure.run();
+    }
+  }
+}
--- /dev/null
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -0,0 +1,316 @@
+package org.waxwingbeam.daemon.routed;
+
+import io.netty.channel.EventLoopGroup;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.waxwingbeam.caller.PoisonList;
+import org.waxwingbeam.caller.RouteTable;
+import org.waxwingbeam.caller.WindowBudget;
+import org.waxwingbeam.caller.net.CallerServer;
+import org.waxwingbeam.caller.net.DispatchGate;
+import org.waxwingbeam.caller.net.ExchangeContext;
+import org.waxwingbeam.caller.net.RequestIds;
+import org.waxwingbeam.caller.net.RetryBudgets;
+import org.waxwingbeam.control.net.FeedClient;
+import org.waxwingbeam.logging.EventLog;
+import org.waxwingbeam.metrics.EntryMetrics;
+import org.waxwingbeam.model.DataCentreName;
+import org.waxwingbeam.model.ErrorKind;
+import org.waxwingbeam.model.InstanceName;
+import org.waxwingbeam.settings.Endpoint;
+import org.waxwingbeam.settings.EntrySettings;
+import org.waxwingbeam.target.TargetDirectory;
+import org.waxwingbeam.target.net.TargetConnections;
+import org.waxwingbeam.target.placement.PlacementContext;
+import org.waxwingbeam.target.placement.PlacementDispatcher;
+import org.waxwingbeam.target.placement.VersionStops;
+import org.waxwingbeam.wire.feed.ControlFrame;
+import org.waxwingbeam.wire.feed.EntryFrame;
+import org.waxwingbeam.wire.feed.EntryGreeting;
+import org.waxwingbeam.wire.feed.TargetRecord;
+import org.waxwingbeam.wire.routing.CallerLimits;
+import org.waxwingbeam.wire.routing.RoutingState;
+
+/**
+ * Runs an entry instance for routed services: serves callers by the routing document in force and
+ * places their requests by what targets report.
+ *
+ * <p>One event loop runs everything.
+ *
+ * <pre>{@code
+ * RoutedEntry entry = RoutedEntry.start(group, settings, protocols);
+ * entry.leave();
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+// The result of a timer that never ends has no reader.
+@SuppressWarnings("FutureReturnValueIgnored")
+public final class RoutedEntry implements AutoCloseable {
+  private static final EventLog LOG = new EventLog(RoutedEntry.class);
+
+  /** Pause between two looks at the connections to control replicas. */
+  private static final long FEED_TICK_MS = 100;
+
+  /** Time after which a connection to a target that has not opened is given up. */
+  private static final int CONNECT_TIMEOUT_MS = 300;
+
+  /** Number of entry instances that is assumed until a control replica has told it. */
+  private static final int UNKNOWN_FLEET_SIZE = 100;
+
+  /** Targets that must have crashed before a request is refused. */
+  private static final int CRASHES_UNTIL_REFUSAL = 3;
+
+  /** Limits that apply until a routing document has stated others. */
+  private static final EntrySettings.CallerLimits FIRST_LIMITS =
+      new EntrySettings.CallerLimits(16_384, 3_000, 15_000);
+
+  /**
+   * Time beyond the stated idle limit for which a connection is kept, so that a caller that keeps
+   * to the limit is never cut off.
+   */
+  private static final long IDLE_MARGIN_MS = 1_000;
+
+  private final Settings settings;
+  private final EventLoopGroup group;
+  private final PrometheusRegistry metrics = new PrometheusRegistry();
+  private final TargetDirectory directory = new TargetDirectory();
+  private final PoisonList poison = new PoisonList(CRASHES_UNTIL_REFUSAL);
+  private final SplittableRandom random = new SplittableRandom();
+  private final PlacementDispatcher dispatcher;
+  private final FeedClient feed;
+  private final CallerServer callers;
+  private RoutingState routing = RoutingState.getDefaultInstance();
+  private RouteTable routes = new RouteTable();
+  private EntrySettings.CallerLimits limits = FIRST_LIMITS;
+  private volatile boolean leaving;
+
+  /**
+   * States where an entry instance runs.
+   *
+   * @param instance its name
+   * @param dataCentre where it is
+   * @param callers where callers connect
+   * @param replicas where the first control replicas take entry instances
+   * @param retries the retry budget of each service for the whole fleet
+   */
+  public record Settings(
+      InstanceName instance,
+      DataCentreName dataCentre,
+      Endpoint callers,
+      List<Endpoint> replicas,
+      WindowBudget.Terms retries) {
+    /** Copies the list. */
+    public Settings {
+      replicas = List.copyOf(replicas);
+    }
+  }
+
+  private RoutedEntry(
+      EventLoopGroup group, Settings settings, ExchangeContext.Protocols protocols) {
+    this.settings = settings;
+    this.group = group;
+    long bootId = System.currentTimeMillis();
+    dispatcher =
+        new PlacementDispatcher(
+            new PlacementContext(
+                settings.dataCentre().value(), this::fleetSize, random, new VersionStops()));
+    EntryGreeting greeting =
+        EntryGreeting.newBuilder()
+            .setName(settings.instance().value())
+            .setDataCentre(settings.dataCentre().value())
+            .setBootId(bootId)
+            .build();
+    feed = new FeedClient(group.next(), greeting, settings.replicas(), new FeedListener());
+    ExchangeContext context =
+        new ExchangeContext(
+            new DispatchGate(dispatcher, System::nanoTime),
+            new TargetConnections(protocols.target(), CONNECT_TIMEOUT_MS),
+            (method, host, uri) -> routes.classify(method, host, uri),
+            protocols,
+            Optional::empty,
+            this::connectionShare,
+            new RetryBudgets(() -> new WindowBudget(settings.retries(), this::fleetSize)),
+            new RequestIds("%s-%x-".formatted(settings.instance().value(), bootId), bootId),
+            settings.instance(),
+            new NoClaims(),
+            poison,
+            new EntryMetrics(metrics),
+            System::nanoTime);
+    callers = new CallerServer(group, settings.callers(), () -> limits, context);
+  }
+
+  /**
+   * Starts an entry instance.
+   *
+   * @param group its one event loop runs everything
+   * @param settings where it runs
+   * @param protocols how callers and targets are spoken with
+   */
+  public static RoutedEntry start(
+      EventLoopGroup group, Settings settings, ExchangeContext.Protocols protocols) {
+    RoutedEntry entry = new RoutedEntry(group, settings, protocols);
+    group.next().scheduleAtFixedRate(entry::tick, 0, FEED_TICK_MS, TimeUnit.MILLISECONDS);
+    LOG.info(
+        "entry-started",
+        "instance",
+        settings.instance(),
+        "data_centre",
+        settings.dataCentre(),
+        "callers",
+        settings.callers(),
+        "replicas",
+        settings.replicas());
+    return entry;
+  }
+
+  private void tick() {
+    long now = System.nanoTime();
+    feed.tick(now);
+    poison
+        .takeChanges(now)
+        .forEach(
+            each ->
+                feed.sendToAll(
+                    EntryFrame.newBuilder().setCrash(CrashSightings.encode(each)).build()));
+  }
+
+  private int fleetSize() {
+    return feed.fleetSize().orElse(UNKNOWN_FLEET_SIZE);
+  }
+
+  private int connectionShare(int limit) {
+    return Math.max(1, limit / Math.max(1, fleetSize()));
+  }
+
+  /** Returns why this entry instance takes no new callers, or empty if it does. */
+  public Optional<ErrorKind> refusal() {
+    if (leaving) {
+      return Optional.of(ErrorKind.SHUTTING_DOWN);
+    }
+    return routes.version() == 0 || !knowsTargets()
+        ? Optional.of(ErrorKind.ISOLATED)
+        : Optional.empty();
+  }
+
+  private boolean knowsTargets() {
+    return routing.getDocument().getServicesList().stream()
+        .anyMatch(each -> dispatcher.readyTargets(each.getName()) > 0);
+  }
+
+  /** Becomes unready and lets answers announce that their connection closes. */
+  public void leave() {
+    leaving = true;
+    callers.announceLeave();
+    LOG.info(
+        "entry-leaving", "instance", settings.instance(), "under_way", callers.exchangesUnderWay());
+  }
+
+  /** Closes the connections that serve no request. */
+  public void closeIdle() {
+    callers.drain();
+  }
+
+  /** Returns the number of requests that are being served. */
+  public int underWay() {
+    return callers.exchangesUnderWay();
+  }
+
+  /** Returns where callers connect. */
+  public Endpoint endpoint() {
+    return callers.endpoint();
+  }
+
+  /** Returns what is measured of this entry instance. */
+  public PrometheusRegistry metrics() {
+    return metrics;
+  }
+
+  /** Adds addresses of control replicas that the settings name. */
+  public void addReplicas(List<Endpoint> replicas) {
+    group.next().execute(() -> feed.addSeeds(replicas));
+  }
+
+  @Override
+  public void close() {
+    callers.close();
+    feed.close();
+  }
+
+  private void apply(RoutingState state) {
+    if (state.getRevision() <= routing.getRevision()) {
+      return;
+    }
+    boolean other = state.getDocument().getVersion() != routes.version();
+    routing = state;
+    if (other) {
+      routes = new RouteTable(state.getDocument(), random.nextDouble());
+      limits = limits(state.getDocument().getLimits());
+    }
+    dispatcher.configure(state);
+    LOG.info(
+        "routing-applied",
+        "revision",
+        state.getRevision(),
+        "document",
+        state.getDocument().getVersion(),
+        "data_centres_out",
+        state.getDataCentresOutList(),
+        "moves",
+        state.getMovesCount());
+  }
+
+  private static EntrySettings.CallerLimits limits(CallerLimits stated) {
+    return new EntrySettings.CallerLimits(
+        stated.getHeaderBytes() > 0 ? stated.getHeaderBytes() : FIRST_LIMITS.headerBytes(),
+        stated.getHeaderTimeoutMs() > 0
+            ? stated.getHeaderTimeoutMs()
+            : FIRST_LIMITS.headerTimeoutMs(),
+        (stated.getIdleTimeoutMs() > 0 ? stated.getIdleTimeoutMs() : FIRST_LIMITS.keepAliveIdleMs())
+            + IDLE_MARGIN_MS);
+  }
+
+  private void apply(TargetRecord record) {
+    long now = System.nanoTime();
+    if (directory.merge(now, record) == TargetDirectory.Merge.CHANGED) {
+      directory.find(now, record.getId()).ifPresent(each -> dispatcher.update(now, each));
+      LOG.info(
+          "target-changed",
+          "target",
+          record.getId(),
+          "address",
+          record.getHost() + ":" + record.getPort(),
+          "service",
+          record.getService(),
+          "version",
+          record.getVersion(),
+          "state",
+          record.getState(),
+          "started_ms",
+          record.getStartedMs(),
+          "cold_left_ms",
+          record.getColdLeftMs());
+    }
+  }
+
+  /** Takes what control replicas tell. */
+  private final class FeedListener implements FeedClient.Listener {
+    @Override
+    public void receive(ControlFrame frame) {
+      switch (frame.getKindCase()) {
+        case ROUTING -> apply(frame.getRouting());
+        case TARGET -> apply(frame.getTarget());
+        case CRASH -> poison.merge(System.nanoTime(), CrashSightings.decode(frame.getCrash()));
+        case LOADS, PULSE, KIND_NOT_SET -> {}
+      }
+    }
+
+    @Override
+    public void connected(int replicas) {
+      LOG.info("replicas-connected", "instance", settings.instance(), "replicas", replicas);
+    }
+  }
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/AttemptFailure.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/AttemptFailure.java
@@ -14,13 +14,14 @@
   /** Returns the failure that a reason stands for. */
   public static AttemptFailure of(RetryReason reason) {
     return switch (reason) {
-      case REFUSED_COLD, REFUSED_DRAINING, REFUSED_OVERLOADED ->
+      case REFUSED_COLD, REFUSED_DRAINING, REFUSED_OVERLOADED, REFUSED_WRONG_TARGET ->
           new AttemptFailure(reason, ErrorKind.TARGETS_REFUSED, false);
       case CONNECT_FAILED, NOT_WRITTEN ->
           new AttemptFailure(reason, ErrorKind.CONNECT_FAILED, false);
       case STALE_CONNECTION, CONNECTION_LOST, HEDGE ->
           new AttemptFailure(reason, ErrorKind.TARGET_LOST, true);
-      case MALFORMED_ANSWER -> new AttemptFailure(reason, ErrorKind.MALFORMED_ANSWER, true);
+      case MALFORMED_ANSWER, TARGET_FAILED ->
+          new AttemptFailure(reason, ErrorKind.MALFORMED_ANSWER, true);
     };
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/PoisonList.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/PoisonList.java
@@ -24,7 +24,7 @@
  * @since 0.1.0
  */
 public final class PoisonList {
-  /** The number of targets after which a request is refused. */
+  /** The number of targets after which a request is refused, unless another is stated. */
   public static final int CRASHES_UNTIL_REFUSAL = 2;
 
   private static final int MAX_SUSPECTS = 10_000;
@@ -34,8 +34,23 @@
   private final Map<String, Suspect> suspects = new LinkedHashMap<>();
   private final Map<String, Integer> prefixes = new LinkedHashMap<>();
   private final Set<String> changed = new HashSet<>();
+  private final int crashesUntilRefusal;
   private volatile boolean empty = true;
 
+  /** Creates an empty list that refuses after {@link #CRASHES_UNTIL_REFUSAL} targets. */
+  public PoisonList() {
+    this(CRASHES_UNTIL_REFUSAL);
+  }
+
+  /**
+   * Creates an empty list.
+   *
+   * @param crashesUntilRefusal the number of targets after which a request is refused
+   */
+  public PoisonList(int crashesUntilRefusal) {
+    this.crashesUntilRefusal = crashesUntilRefusal;
+  }
+
   /** Returns whether no request is under suspicion. Costs no lock. */
   public boolean isEmpty() {
     return empty;
@@ -50,7 +65,7 @@
   public synchronized boolean isPoison(long nowNanos, String fingerprint) {
     expire(nowNanos);
     Suspect suspect = suspects.get(fingerprint);
-    return suspect != null && suspect.isPoison();
+    return suspect != null && suspect.targets.size() >= crashesUntilRefusal;
   }
 
   /**
@@ -154,10 +169,6 @@
 
   /** A request whose connections have died. */
   private record Suspect(String prefix, Set<TargetId> targets, long lastNanos, long retentionMs) {
-    boolean isPoison() {
-      return targets.size() >= CRASHES_UNTIL_REFUSAL;
-    }
-
     boolean isOver(long nowNanos) {
       return nowNanos - lastNanos >= retentionMs * NANOS_PER_MS;
     }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/RetryPolicy.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/RetryPolicy.java
@@ -10,9 +10,6 @@
  * @since 0.1.0
  */
 public final class RetryPolicy {
-  /** The most targets that one request is sent to. */
-  public static final int MAX_ATTEMPTS = 3;
-
   private RetryPolicy() {}
 
   /** Returns whether a request may be sent to a further target. */
@@ -29,7 +26,7 @@
     return !progress.answerBegun()
         && progress.bodyKept()
         && !progress.markedAsRetry()
-        && progress.attempts() < MAX_ATTEMPTS;
+        && progress.attempts() < progress.maxAttempts();
   }
 
   /**
@@ -37,6 +34,7 @@
    *
    * @param idempotent whether it may run twice
    * @param attempts targets that it was sent to
+   * @param maxAttempts the most targets that it may be sent to
    * @param answerBegun whether the answer's head has gone to the caller
    * @param bodyKept whether the whole of the body so far can be sent again
    * @param markedAsRetry whether its sender has sent it before
@@ -44,6 +42,7 @@
   public record RequestProgress(
       boolean idempotent,
       int attempts,
+      int maxAttempts,
       boolean answerBegun,
       boolean bodyKept,
       boolean markedAsRetry) {}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/RetryReason.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/RetryReason.java
@@ -14,6 +14,8 @@
   REFUSED_DRAINING,
   /** The target refused it unrun because it has no capacity. */
   REFUSED_OVERLOADED,
+  /** The address belongs to another target now; the request did not run. */
+  REFUSED_WRONG_TARGET,
   /** No connection to the target could be opened. */
   CONNECT_FAILED,
   /** The connection was closed before any byte of the request had been written. */
@@ -24,6 +26,8 @@
   CONNECTION_LOST,
   /** The target's answer was malformed. */
   MALFORMED_ANSWER,
+  /** The target ran the request and answered with a failure. */
+  TARGET_FAILED,
   /** The first target has not answered within the route's hedging delay. */
   HEDGE;
 
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/RouteTable.java
@@ -0,0 +1,180 @@
+package org.waxwingbeam.caller;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.waxwingbeam.model.AccountName;
+import org.waxwingbeam.model.ErrorKind;
+import org.waxwingbeam.model.Parameter;
+import org.waxwingbeam.model.Parameters;
+import org.waxwingbeam.model.RouteName;
+import org.waxwingbeam.model.ServiceName;
+import org.waxwingbeam.model.TemplateName;
+import org.waxwingbeam.wire.routing.HostRoute;
+import org.waxwingbeam.wire.routing.RoutingDocument;
+import org.waxwingbeam.wire.routing.ServiceTerms;
+import org.waxwingbeam.wire.routing.WeightedService;
+
+/**
+ * Finds the route of a request by its host and the longest path prefix, and divides the requests of
+ * a route among its services.
+ *
+ * <pre>{@code
+ * RouteTable table = new RouteTable(document, 0.25);
+ * Classification found = table.classify("GET", "listings.example", "/tapes/7");
+ * }</pre>
+ *
+ * <p>Not safe for use by several threads.
+ *
+ * @since 0.1.0
+ */
+public final class RouteTable implements RequestRouter {
+  /** The client account of requests on routes that belong to none. */
+  public static final AccountName COMMON_ACCOUNT = new AccountName("common");
+
+  private static final TemplateName TEMPLATE = new TemplateName("routes");
+
+  /** Share of the response-time goal after which an idempotent request is sent once more. */
+  private static final double HEDGE_SHARE_OF_GOAL = 0.5;
+
+  private final long version;
+  private final Map<String, List<Route>> byHost;
+
+  /** Creates a table without routes. */
+  public RouteTable() {
+    this(RoutingDocument.getDefaultInstance(), 0);
+  }
+
+  /**
+   * Compiles a document.
+   *
+   * @param document a valid document
+   * @param phase where the division among services starts, from 0 to 1; entry instances start at
+   *     different places so that their first requests do not all go to the same service
+   */
+  public RouteTable(RoutingDocument document, double phase) {
+    version = document.getVersion();
+    Map<String, ServiceTerms> services =
+        document.getServicesList().stream()
+            .collect(Collectors.toMap(ServiceTerms::getName, each -> each, (one, other) -> other));
+    byHost =
+        document.getRoutesList().stream()
+            .map(each -> new Route(each, document, services, phase))
+            .collect(Collectors.groupingBy(each -> each.host));
+    byHost
+        .values()
+        .forEach(
+            routes ->
+                routes.sort(Comparator.comparingInt((Route each) -> -each.pathPrefix.length())));
+  }
+
+  /** Returns the version of the document, or 0 if there is none. */
+  public long version() {
+    return version;
+  }
+
+  @Override
+  public Classification classify(String method, String host, String uri) {
+    if (version == 0) {
+      return new Classification.Refused(ErrorKind.ISOLATED);
+    }
+    String path = path(uri);
+    return Optional.ofNullable(byHost.get(hostName(host))).stream()
+        .flatMap(List::stream)
+        .filter(each -> path.startsWith(each.pathPrefix))
+        .findFirst()
+        .<Classification>map(each -> new Classification.Accepted(each.nextTerms()))
+        .orElseGet(() -> new Classification.Refused(ErrorKind.NO_ROUTE));
+  }
+
+  private static String path(String uri) {
+    int query = uri.indexOf('?');
+    return query < 0 ? uri : uri.substring(0, query);
+  }
+
+  private static String hostName(String host) {
+    if (host == null) {
+      return "";
+    }
+    int port = host.lastIndexOf(':');
+    boolean hasPort = port >= 0 && host.indexOf(']', port) < 0;
+    return (hasPort ? host.substring(0, port) : host).toLowerCase(Locale.ROOT);
+  }
+
+  /** One route, with the terms for each of its services. */
+  private static final class Route {
+    /** Successive multiples of this are spread evenly over the unit interval. */
+    private static final double GOLDEN_RATIO_PART = 0.618_033_988_749_894_9;
+
+    private final String host;
+    private final String pathPrefix;
+    private final List<Part> parts;
+    private double position;
+
+    private record Part(double upTo, RequestTerms terms) {}
+
+    Route(
+        HostRoute route,
+        RoutingDocument document,
+        Map<String, ServiceTerms> services,
+        double phase) {
+      host = route.getHost().toLowerCase(Locale.ROOT);
+      pathPrefix = route.getPathPrefix();
+      position = phase;
+      double total = route.getServicesList().stream().mapToDouble(WeightedService::getWeight).sum();
+      double[] sum = new double[1];
+      parts =
+          route.getServicesList().stream()
+              .filter(each -> each.getWeight() > 0)
+              .map(
+                  each -> {
+                    sum[0] += each.getWeight() / total;
+                    return new Part(
+                        sum[0], terms(route, document, services.get(each.getService())));
+                  })
+              .toList();
+    }
+
+    private static RequestTerms terms(
+        HostRoute route, RoutingDocument document, ServiceTerms service) {
+      return new RequestTerms(
+          TEMPLATE,
+          new ServiceName(service.getName()),
+          COMMON_ACCOUNT,
+          new RouteName(route.getName()),
+          route.getIdempotent(),
+          route.getTransfer(),
+          parameters(route, document, service));
+    }
+
+    private static Parameters parameters(
+        HostRoute route, RoutingDocument document, ServiceTerms service) {
+      int hedgeMs = (int) (route.getGoalMs() * HEDGE_SHARE_OF_GOAL);
+      Parameters stated =
+          Parameters.NONE
+              .with(Parameter.DEADLINE, Math.max(1, route.getTimeoutMs()))
+              .with(Parameter.TRANSFER_TOTAL, Math.max(10, route.getTimeoutMs()))
+              .with(Parameter.SHED_RANK, Math.min(9, route.getRank()))
+              .with(Parameter.MAX_ATTEMPTS, Math.clamp(route.getMaxAttempts(), 1, 10))
+              .with(Parameter.RESPONSE_GOAL, Math.max(1, route.getGoalMs()))
+              .with(Parameter.HEDGE_AFTER, route.getIdempotent() ? hedgeMs : 0)
+              .with(Parameter.CONNECTION_LIMIT, Math.max(1, service.getConnectionLimit()));
+      long bodyBytes = document.getLimits().getBodyBytes();
+      return bodyBytes > 0 ? stated.with(Parameter.REQUEST_BODY_LIMIT, bodyBytes) : stated;
+    }
+
+    RequestTerms nextTerms() {
+      position += GOLDEN_RATIO_PART;
+      position -= Math.floor(position);
+      double at = position;
+      return parts.stream()
+          .filter(each -> at < each.upTo())
+          .findFirst()
+          .orElseGet(parts::getLast)
+          .terms();
+    }
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/WindowBudget.java
@@ -0,0 +1,98 @@
+package org.waxwingbeam.caller;
+
+import java.util.function.IntSupplier;
+
+/**
+ * Limits the retries and hedges of any span of time to a share of the requests of that span and a
+ * fixed number for the whole fleet. Each entry instance uses its own requests and an equal part of
+ * the fixed number, so the parts never add up to more than the whole.
+ *
+ * <pre>{@code
+ * WindowBudget budget = new WindowBudget(new WindowBudget.Terms(0.2, 58, windowNanos), () -> 15);
+ * budget.onRequest(nowNanos);
+ * boolean allowed = budget.spend(nowNanos);
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+public final class WindowBudget implements RetryBudget {
+  /**
+   * Part of the stated budget that is used: the rest covers retries that arrive later than they
+   * were sent and so fall into another span.
+   */
+  private static final double USED_PART = 0.75;
+
+  private static final int SLICES = 20;
+
+  private final Terms terms;
+  private final IntSupplier fleetSize;
+  private final int[] requests = new int[SLICES];
+  private final int[] retries = new int[SLICES];
+  private long slice = Long.MIN_VALUE / 2;
+
+  /**
+   * States a budget for the whole fleet.
+   *
+   * @param ratio retries for each request
+   * @param fixed retries beyond that in any window
+   * @param windowNanos the length of the window
+   */
+  public record Terms(double ratio, int fixed, long windowNanos) {}
+
+  /**
+   * Creates a budget.
+   *
+   * @param terms the budget of the whole fleet
+   * @param fleetSize returns the number of entry instances, at least 1
+   */
+  public WindowBudget(Terms terms, IntSupplier fleetSize) {
+    this.terms = terms;
+    this.fleetSize = fleetSize;
+  }
+
+  @Override
+  public synchronized void onRequest(long nowNanos) {
+    advance(nowNanos);
+    requests[index()]++;
+  }
+
+  @Override
+  public void onSuccess(long percent) {}
+
+  @Override
+  public synchronized boolean spend(long nowNanos) {
+    advance(nowNanos);
+    double allowed =
+        USED_PART
+            * (terms.ratio() * sum(requests)
+                + (double) terms.fixed() / Math.max(1, fleetSize.getAsInt()));
+    boolean spent = sum(retries) + 1 <= allowed;
+    if (spent) {
+      retries[index()]++;
+    }
+    return spent;
+  }
+
+  private void advance(long nowNanos) {
+    long now = nowNanos / (terms.windowNanos() / SLICES);
+    long steps = Math.min(SLICES, now - slice);
+    for (long step = 1; step <= steps; step++) {
+      int at = (int) Math.floorMod(now - steps + step, (long) SLICES);
+      requests[at] = 0;
+      retries[at] = 0;
+    }
+    slice = Math.max(slice, now);
+  }
+
+  private int index() {
+    return (int) Math.floorMod(slice, (long) SLICES);
+  }
+
+  private static int sum(int[] counts) {
+    int sum = 0;
+    for (int count : counts) {
+      sum += count;
+    }
+    return sum;
+  }
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Attempt.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Attempt.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
 import org.waxwingbeam.caller.AttemptFailure;
 import org.waxwingbeam.caller.RetryReason;
@@ -14,10 +13,9 @@
 import org.waxwingbeam.target.DispatchRequest;
 import org.waxwingbeam.target.LoadReport;
 import org.waxwingbeam.target.Outcome;
-import org.waxwingbeam.target.TargetProtocol;
 import org.waxwingbeam.target.net.AnswerReceiver;
+import org.waxwingbeam.target.net.AnswerSign;
 import org.waxwingbeam.target.net.ExchangeFailure;
-import org.waxwingbeam.target.net.LoadHeader;
 import org.waxwingbeam.target.net.TargetConnection;
 
 /**
@@ -33,8 +31,12 @@
     /** The attempt has a connection and is about to send the request. */
     void onConnected(Attempt attempt);
 
-    /** The head of an answer has arrived that is no refusal. */
-    void onHead(Attempt attempt, HttpResponse head);
+    /**
+     * The head of an answer has arrived that may go to the caller.
+     *
+     * @param failed whether the request ran and failed
+     */
+    void onHead(Attempt attempt, HttpResponse head, boolean failed);
 
     /** A part of the answer has arrived; the listener owns it. */
     void onContent(Attempt attempt, HttpContent content);
@@ -59,13 +61,15 @@
   private final EventLoop loop;
 
   private TargetId target;
+  private Optional<String> instance = Optional.empty();
+  private Optional<HeldAnswer> held = Optional.empty();
   private TargetConnection connection;
   private Optional<LoadReport> report = Optional.empty();
   private Outcome outcome = Outcome.SUCCESS;
   private long sentNanos;
   private long headLatencyNanos;
   private boolean sending;
-  private boolean refused;
+  private boolean discarding;
   private boolean ended;
   private int nextPart;
 
@@ -101,6 +105,7 @@
 
   private void onAssigned(Decision.Assigned assigned) {
     target = assigned.target();
+    instance = assigned.instance();
     sentNanos = context.clock().getAsLong();
     if (ended) {
       report(Outcome.CANCELLED);
@@ -170,6 +175,33 @@
     return Optional.ofNullable(target);
   }
 
+  /** Returns the identity that the target has stated, if it states one. */
+  Optional<String> instance() {
+    return instance;
+  }
+
+  /** Begins to keep the answer instead of passing it on. */
+  void hold(HeldAnswer answer) {
+    held = Optional.of(answer);
+  }
+
+  /** Returns the answer that is kept, if it is. */
+  Optional<HeldAnswer> held() {
+    return held;
+  }
+
+  /** Gives the kept answer away. */
+  HeldAnswer takeHeld() {
+    HeldAnswer taken = held.orElseThrow();
+    held = Optional.empty();
+    return taken;
+  }
+
+  private void releaseHeld() {
+    held.ifPresent(HeldAnswer::close);
+    held = Optional.empty();
+  }
+
   int partsSent() {
     return nextPart;
   }
@@ -180,6 +212,7 @@
       return;
     }
     ended = true;
+    releaseHeld();
     if (isIdleBeforeTarget()) {
       context.gate().cancel(request.attemptId());
       return;
@@ -197,43 +230,42 @@
   @Override
   public void onHead(HttpResponse head) {
     headLatencyNanos = context.clock().getAsLong() - sentNanos;
-    report = LoadHeader.parse(head.headers().get(TargetProtocol.LOAD_HEADER));
-    Optional<RetryReason> refusal = refusal(head);
-    if (refusal.isPresent()) {
-      refused = true;
-      ended = true;
-      report(refusalOutcome(refusal.get()));
-      listener.onFailed(this, AttemptFailure.of(refusal.get()));
-      return;
+    report = context.targetDialect().load(head.headers());
+    switch (context.targetDialect().sign(head)) {
+      case AnswerSign.Answered answered -> pass(head, false);
+      case AnswerSign.Failed failed -> pass(head, true);
+      case AnswerSign.Refused refusal ->
+          discard(refusalOutcome(refusal.reason()), refusal.reason());
+      case AnswerSign.Unusable unusable -> {
+        connection.abort();
+        discard(Outcome.FAILURE, RetryReason.MALFORMED_ANSWER);
+      }
     }
+  }
+
+  private void pass(HttpResponse head, boolean failed) {
     outcome = head.status().code() >= 500 ? Outcome.FAILURE : Outcome.SUCCESS;
-    listener.onHead(this, head);
+    listener.onHead(this, head, failed);
   }
 
-  private static Optional<RetryReason> refusal(HttpResponse head) {
-    String refusal = head.headers().get(TargetProtocol.REFUSED_HEADER);
-    if (refusal == null || !head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
-      return Optional.empty();
-    }
-    return switch (refusal) {
-      case "cold" -> Optional.of(RetryReason.REFUSED_COLD);
-      case "draining" -> Optional.of(RetryReason.REFUSED_DRAINING);
-      case "overloaded" -> Optional.of(RetryReason.REFUSED_OVERLOADED);
-      default -> Optional.empty();
-    };
+  /** Ends the attempt although the rest of its answer is still to come. */
+  private void discard(Outcome how, RetryReason reason) {
+    discarding = true;
+    fail(how, reason);
   }
 
   private static Outcome refusalOutcome(RetryReason reason) {
     return switch (reason) {
       case REFUSED_COLD -> Outcome.REFUSED_COLD;
       case REFUSED_DRAINING -> Outcome.REFUSED_DRAINING;
+      case REFUSED_WRONG_TARGET -> Outcome.REFUSED_WRONG_TARGET;
       default -> Outcome.REFUSED_OVERLOADED;
     };
   }
 
   @Override
   public void onContent(HttpContent content) {
-    if (refused) {
+    if (discarding) {
       content.release();
     } else {
       listener.onContent(this, content);
@@ -281,6 +313,7 @@
 
   private void fail(Outcome how, RetryReason reason) {
     ended = true;
+    releaseHeld();
     report(how);
     listener.onFailed(this, AttemptFailure.of(reason));
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerConnection.java
@@ -23,8 +23,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.waxwingbeam.caller.CallerProtocol;
 import org.waxwingbeam.caller.Classification;
 import org.waxwingbeam.control.RecordedAnswer;
@@ -43,8 +44,9 @@
   private static final long DISCARD_LIMIT_BYTES = 65_536;
 
   private final ExchangeContext context;
-  private final EntrySettings.CallerLimits limits;
-  private final Set<Exchange> exchanges;
+  private final Supplier<EntrySettings.CallerLimits> limits;
+  private final BooleanSupplier leaving;
+  private final ExchangeTable exchanges;
   private final RequestDecoder decoder;
   private final AnswerEncoder encoder;
   private final Deque<Object> pending = new ArrayDeque<>();
@@ -61,12 +63,14 @@
 
   CallerConnection(
       ExchangeContext context,
-      EntrySettings.CallerLimits limits,
-      Set<Exchange> exchanges,
+      Supplier<EntrySettings.CallerLimits> limits,
+      BooleanSupplier leaving,
+      ExchangeTable exchanges,
       RequestDecoder decoder,
       AnswerEncoder encoder) {
     this.context = context;
     this.limits = limits;
+    this.leaving = leaving;
     this.exchanges = exchanges;
     this.decoder = decoder;
     this.encoder = encoder;
@@ -87,7 +91,7 @@
     return channel.eventLoop();
   }
 
-  Set<Exchange> exchanges() {
+  ExchangeTable exchanges() {
     return exchanges;
   }
 
@@ -105,7 +109,7 @@
   }
 
   private void scheduleIdleCheck() {
-    long delayMs = Math.max(1, limits.headerTimeoutMs() / 4);
+    long delayMs = Math.max(1, limits.get().headerTimeoutMs() / 4);
     channel.eventLoop().schedule(this::checkIdle, delayMs, TimeUnit.MILLISECONDS);
   }
 
@@ -115,9 +119,9 @@
     }
     long idleMs = TimeUnit.NANOSECONDS.toMillis(context.clock().getAsLong() - idleSinceNanos);
     if (exchange == null && !closing) {
-      if (decoder.isWithinHead() && idleMs > limits.headerTimeoutMs()) {
+      if (decoder.isWithinHead() && idleMs > limits.get().headerTimeoutMs()) {
         refuseAndClose(ErrorKind.REQUEST_TIMEOUT);
-      } else if (idleMs > limits.keepAliveIdleMs()) {
+      } else if (idleMs > limits.get().keepAliveIdleMs()) {
         channel.close();
       }
     }
@@ -189,11 +193,10 @@
 
   private void serve(HttpRequest head, long length) {
     Optional<ErrorKind> closed = context.admission().get();
-    Optional<RequestMark> mark = RequestMark.of(head.headers());
+    Optional<RequestMark> mark = context.callerDialect().mark(head.headers());
     Classification classification =
         context
-            .classifiers()
-            .current()
+            .router()
             .classify(head.method().name(), head.headers().get(HttpHeaderNames.HOST), head.uri());
     if (closed.isPresent()) {
       keepAlive = false;
@@ -240,6 +243,7 @@
   }
 
   private void setConnectionHeader(HttpResponse head) {
+    keepAlive &= !leaving.getAsBoolean();
     if (!keepAlive) {
       head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
@@ -264,7 +268,7 @@
     context.metrics().onRefusal(kind);
     boolean whole = exchange != null && exchange.isRequestWhole();
     keepAlive &= whole || mayDiscard;
-    FullHttpResponse answer = ErrorAnswer.of(kind, retryAfterMs);
+    FullHttpResponse answer = context.callerDialect().error(kind, retryAfterMs);
     setConnectionHeader(answer);
     channel.write(answer);
     endExchange();
@@ -323,7 +327,7 @@
   private void refuseAndClose(ErrorKind kind) {
     context.metrics().onRefusal(kind);
     encoder.answerTo(false);
-    FullHttpResponse answer = ErrorAnswer.of(kind, 0);
+    FullHttpResponse answer = context.callerDialect().error(kind, 0);
     keepAlive = false;
     setConnectionHeader(answer);
     channel.write(answer);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerServer.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerServer.java
@@ -12,7 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.waxwingbeam.caller.RequestTerms;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.settings.EntrySettings;
@@ -31,12 +31,12 @@
 // A failed write or close shows in channelInactive.
 @SuppressWarnings("FutureReturnValueIgnored")
 public final class CallerServer implements AutoCloseable {
-  private static final long TICK_MS = 5;
   private static final int BACKLOG = 1_024;
 
   private final ExchangeContext context;
-  private final EntrySettings.CallerLimits limits;
-  private final Map<EventLoop, Set<Exchange>> exchanges = new ConcurrentHashMap<>();
+  private final Supplier<EntrySettings.CallerLimits> limits;
+  private volatile boolean leaving;
+  private final Map<EventLoop, ExchangeTable> exchanges = new ConcurrentHashMap<>();
   private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
   private final Channel listener;
 
@@ -45,13 +45,13 @@
    *
    * @param group the event loops that serve callers and targets
    * @param endpoint where callers connect
-   * @param limits limits on what callers send
+   * @param limits returns the limits on what callers send
    * @param context what the exchanges use
    */
   public CallerServer(
       EventLoopGroup group,
       Endpoint endpoint,
-      EntrySettings.CallerLimits limits,
+      Supplier<EntrySettings.CallerLimits> limits,
       ExchangeContext context) {
     this.context = context;
     this.limits = limits;
@@ -74,29 +74,18 @@
     return new Endpoint(address.getAddress().getHostAddress(), address.getPort());
   }
 
-  private Set<Exchange> exchangesOf(EventLoop loop) {
-    return exchanges.computeIfAbsent(loop, this::startTicking);
-  }
-
-  private Set<Exchange> startTicking(EventLoop loop) {
-    Set<Exchange> own = ConcurrentHashMap.newKeySet();
-    loop.scheduleAtFixedRate(() -> tick(own), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
-    return own;
-  }
-
-  private void tick(Set<Exchange> own) {
-    long now = context.clock().getAsLong();
-    List.copyOf(own).forEach(each -> each.onTick(now));
+  private ExchangeTable exchangesOf(EventLoop loop) {
+    return exchanges.computeIfAbsent(loop, each -> new ExchangeTable(each, context.clock()));
   }
 
   /** Returns the terms of every request that is being served. */
   public List<RequestTerms> underWay() {
-    return exchanges.values().stream().flatMap(Set::stream).map(Exchange::terms).toList();
+    return exchanges.values().stream().flatMap(each -> each.terms().stream()).toList();
   }
 
   /** Returns the number of requests that are being served. */
   public int exchangesUnderWay() {
-    return exchanges.values().stream().mapToInt(Set::size).sum();
+    return exchanges.values().stream().mapToInt(ExchangeTable::size).sum();
   }
 
   /**
@@ -107,6 +96,13 @@
     connections.forEach(each -> each.loop().execute(each::drain));
   }
 
+  /**
+   * Lets every answer from now on announce that its connection closes. Requests are still served.
+   */
+  public void announceLeave() {
+    leaving = true;
+  }
+
   /** Stops listening and ends every connection, whatever it serves. */
   @Override
   public void close() {
@@ -117,10 +113,11 @@
   private final class Pipeline extends ChannelInitializer<Channel> {
     @Override
     protected void initChannel(Channel channel) {
-      RequestDecoder decoder = new RequestDecoder(limits.headerBytes());
+      RequestDecoder decoder = new RequestDecoder(limits.get().headerBytes());
       AnswerEncoder encoder = new AnswerEncoder();
-      Set<Exchange> own = exchangesOf(channel.eventLoop());
-      CallerConnection connection = new CallerConnection(context, limits, own, decoder, encoder);
+      ExchangeTable own = exchangesOf(channel.eventLoop());
+      CallerConnection connection =
+          new CallerConnection(context, limits, () -> leaving, own, decoder, encoder);
       connections.add(connection);
       channel.closeFuture().addListener(closed -> connections.remove(connection));
       channel.pipeline().addLast(decoder, encoder, connection);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ClassifierCache.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ClassifierCache.java
@@ -1,6 +1,8 @@
 package org.waxwingbeam.caller.net;
 
+import org.waxwingbeam.caller.Classification;
 import org.waxwingbeam.caller.RequestClassifier;
+import org.waxwingbeam.caller.RequestRouter;
 import org.waxwingbeam.control.AppliedConfiguration;
 import org.waxwingbeam.model.Configuration;
 
@@ -9,7 +11,7 @@
  *
  * @since 0.1.0
  */
-public final class ClassifierCache {
+public final class ClassifierCache implements RequestRouter {
   private final AppliedConfiguration applied;
   private volatile RequestClassifier compiled = new RequestClassifier(Configuration.EMPTY);
 
@@ -18,6 +20,11 @@
     this.applied = applied;
   }
 
+  @Override
+  public Classification classify(String method, String host, String uri) {
+    return current().classify(method, host, uri);
+  }
+
   /** Returns the classifier of the configuration that is applied now. */
   public RequestClassifier current() {
     Configuration configuration = applied.current();
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/EndToEndHeaders.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/EndToEndHeaders.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.AsciiString;
 import java.util.List;
-import org.waxwingbeam.target.TargetProtocol;
 
 /** Removes the headers that concern one connection only. */
 final class EndToEndHeaders {
@@ -28,12 +27,9 @@
     headers.remove(HttpHeaderNames.EXPECT);
   }
 
-  /** Removes them, and what a target says to the system only, from an answer. */
+  /** Removes them from an answer that is about to be sent to a caller. */
   static void keepInAnswer(HttpHeaders headers) {
     removeConnectionHeaders(headers);
-    headers.remove(TargetProtocol.LOAD_HEADER);
-    headers.remove(TargetProtocol.REFUSED_HEADER);
-    headers.remove(TargetProtocol.REQUEST_ID_HEADER);
   }
 
   private static void removeConnectionHeaders(HttpHeaders headers) {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -25,7 +25,7 @@
 import org.waxwingbeam.target.Decision;
 import org.waxwingbeam.target.DispatchRequest;
 import org.waxwingbeam.target.Outcome;
-import org.waxwingbeam.target.TargetProtocol;
+import org.waxwingbeam.target.net.TargetDialect;
 
 /**
  * Serves one request: sends it to targets as the retry policy allows and passes one whole answer,
@@ -49,6 +49,7 @@
   private final PoisonCheck poison;
 
   private Optional<AttemptFailure> uncertain = Optional.empty();
+  private Optional<HeldAnswer> fallback = Optional.empty();
   private Attempt answering;
   private int attempts;
   private boolean prepared;
@@ -66,7 +67,7 @@
     this.terms = terms;
     this.mark = mark;
     this.head = head;
-    this.requestId = context.ids().nextRequest();
+    this.requestId = mark.requestId().orElseGet(context.ids()::nextRequest);
     this.limits = new ExchangeLimits(terms, mark, context.clock().getAsLong());
     this.claim =
         mark.key().filter(key -> !terms.idempotent()).map(key -> new KeyClaim(context, terms, key));
@@ -76,6 +77,7 @@
 
   /** Starts the first attempt, or waits for the body if the request must be known whole. */
   void start() {
+    context.budgets().of(terms.service()).onRequest(context.clock().getAsLong());
     if (claim.isPresent() || poison.needsBody()) {
       caller.continueIfExpected();
     } else {
@@ -133,6 +135,7 @@
             (int) terms.value(Parameter.SHED_RANK),
             (int) terms.value(Parameter.QUEUE_LIMIT),
             limits.headDeadlineNanos(),
+            limits.startNanos() + terms.value(Parameter.RESPONSE_GOAL) * NANOS_PER_MS,
             Set.copyOf(used));
     int limit = (int) terms.value(Parameter.CONNECTION_LIMIT);
     Attempt attempt =
@@ -270,23 +273,33 @@
     }
     attempt.target().ifPresent(used::add);
     caller.continueIfExpected();
-    attempt.send(outgoingHead(), requestId, body);
+    attempt.send(outgoingHead(attempt), requestId, body);
     discardSentBody();
     updateRequestReading();
   }
 
-  private HttpRequest outgoingHead() {
+  private HttpRequest outgoingHead(Attempt attempt) {
     HttpHeaders headers = head.headers().copy();
     int number = Math.max(attempts, mark.attempt());
     long leftMs = limits.headLeftNanos(context.clock().getAsLong()) / NANOS_PER_MS;
-    headers.set(TargetProtocol.DEADLINE_HEADER, Math.max(1, leftMs));
-    headers.set(TargetProtocol.ATTEMPT_HEADER, number);
-    headers.set(TargetProtocol.REQUEST_ID_HEADER, requestId);
+    context
+        .targetDialect()
+        .mark(
+            headers,
+            new TargetDialect.Delivery(requestId, Math.max(1, leftMs), number, attempt.instance()));
     return new DefaultHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), headers);
   }
 
   @Override
-  public void onHead(Attempt attempt, HttpResponse answerHead) {
+  public void onHead(Attempt attempt, HttpResponse answerHead, boolean failed) {
+    if (context.protocols().heldAnswerBytes() > 0) {
+      attempt.hold(new HeldAnswer(answerHead, failed));
+    } else {
+      beginAnswer(attempt, answerHead);
+    }
+  }
+
+  private void beginAnswer(Attempt attempt, HttpResponse answerHead) {
     answering = attempt;
     active.remove(attempt);
     cancelAll(Outcome.CANCELLED);
@@ -294,24 +307,54 @@
     claim.ifPresent(each -> each.onHead(answerHead));
     limits.onAnswerHead(context.clock().getAsLong());
     EndToEndHeaders.keepInAnswer(answerHead.headers());
+    context.targetDialect().keepForCaller(answerHead.headers());
     caller.writeHead(answerHead);
     attempt.setReading(caller.isWritable());
   }
 
   @Override
   public void onContent(Attempt attempt, HttpContent content) {
-    limits.onProgress(context.clock().getAsLong());
+    Optional<HeldAnswer> held = attempt.held();
+    if (held.isEmpty()) {
+      limits.onProgress(context.clock().getAsLong());
+      passOn(content);
+      return;
+    }
+    held.get().add(content);
+    if (held.get().bytes() > context.protocols().heldAnswerBytes()) {
+      release(attempt, false);
+    }
+  }
+
+  private void passOn(HttpContent content) {
     claim.ifPresent(each -> each.onContent(content.content()));
     caller.write(content);
   }
 
+  /** Passes on what has been kept of an answer; the rest follows as it arrives. */
+  private void release(Attempt attempt, boolean whole) {
+    HeldAnswer held = attempt.takeHeld();
+    held.delimit(whole);
+    beginAnswer(attempt, held.head());
+    held.drainTo(this::passOn);
+  }
+
   @Override
   public void onReadComplete(Attempt attempt) {
-    caller.flush();
+    if (attempt == answering) {
+      caller.flush();
+    }
   }
 
   @Override
   public void onComplete(Attempt attempt) {
+    if (attempt.held().filter(HeldAnswer::isFailed).isPresent()) {
+      onFailedAnswer(attempt);
+      return;
+    }
+    if (attempt.held().isPresent()) {
+      release(attempt, true);
+    }
     context.budgets().of(terms.service()).onSuccess(terms.value(Parameter.RETRY_BUDGET));
     settle(ClaimSettlement.Result.RAN);
     poison.onAnswered();
@@ -319,6 +362,33 @@
     caller.onAnswered();
   }
 
+  /** Keeps a failure that a target answered with, in case no better answer is to be had. */
+  private void onFailedAnswer(Attempt attempt) {
+    active.remove(attempt);
+    attempt.target().ifPresent(used::add);
+    poison.onAnswered();
+    HeldAnswer held = attempt.takeHeld();
+    held.delimit(true);
+    fallback.ifPresentOrElse(earlier -> held.close(), () -> fallback = Optional.of(held));
+    AttemptFailure failure = AttemptFailure.of(RetryReason.TARGET_FAILED);
+    uncertain = Optional.of(uncertain.orElse(failure));
+    if (active.isEmpty()) {
+      retryOrAnswer(failure);
+    }
+  }
+
+  /** Passes on a failure that a target answered with. */
+  private void answerFallback(HeldAnswer failed) {
+    cancelAll(Outcome.CANCELLED);
+    EndToEndHeaders.keepInAnswer(failed.head().headers());
+    context.targetDialect().keepForCaller(failed.head().headers());
+    caller.writeHead(failed.head());
+    failed.drainTo(caller::write);
+    settle(ClaimSettlement.Result.RAN);
+    finish();
+    caller.onAnswered();
+  }
+
   @Override
   public void onFailed(Attempt attempt, AttemptFailure failure) {
     active.remove(attempt);
@@ -353,11 +423,16 @@
 
   private RetryPolicy.RequestProgress progress() {
     return new RetryPolicy.RequestProgress(
-        terms.idempotent(), attempts, answering != null, body.isKept(), mark.isRetry());
+        terms.idempotent(),
+        attempts,
+        (int) terms.value(Parameter.MAX_ATTEMPTS),
+        answering != null,
+        body.isKept(),
+        mark.isRetry());
   }
 
   private boolean spendRetry(RetryReason reason) {
-    boolean spent = context.budgets().of(terms.service()).spend();
+    boolean spent = context.budgets().of(terms.service()).spend(context.clock().getAsLong());
     if (!spent) {
       context.metrics().onDeniedRetry(reason);
     }
@@ -375,6 +450,10 @@
     if (ended) {
       return;
     }
+    if (fallback.isPresent()) {
+      answerFallback(fallback.get());
+      return;
+    }
     ErrorKind honest =
         kind.run() == ErrorKind.Run.NO ? uncertain.map(AttemptFailure::kind).orElse(kind) : kind;
     boolean unrun = honest.run() == ErrorKind.Run.NO;
@@ -409,6 +488,7 @@
   @Override
   public void close() {
     body.close();
+    fallback.ifPresent(HeldAnswer::close);
     caller.exchanges().remove(this);
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeLimits.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeLimits.java
@@ -46,6 +46,11 @@
     headDeadlineNanos = nowNanos + allowedToHeadNanos;
   }
 
+  /** Returns when the request arrived. */
+  long startNanos() {
+    return startNanos;
+  }
+
   long headDeadlineNanos() {
     return headDeadlineNanos;
   }
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/NativeCallerDialect.java
@@ -0,0 +1,59 @@
+package org.waxwingbeam.caller.net;
+
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.waxwingbeam.caller.CallerProtocol;
+import org.waxwingbeam.model.ErrorKind;
+
+/**
+ * Speaks the system's own protocol with callers, see {@link CallerProtocol}.
+ *
+ * @since 0.1.0
+ */
+public final class NativeCallerDialect implements CallerDialect {
+  private static final int MAX_DIGITS = 9;
+  private static final int MAX_ASCII = 127;
+
+  /** Creates the dialect. */
+  public NativeCallerDialect() {}
+
+  @Override
+  public Optional<RequestMark> mark(HttpHeaders headers) {
+    String deadline = headers.get(CallerProtocol.DEADLINE_HEADER);
+    String attempt = headers.get(CallerProtocol.ATTEMPT_HEADER);
+    Optional<String> key = Optional.ofNullable(headers.get(CallerProtocol.IDEMPOTENCY_KEY_HEADER));
+    boolean keyWellFormed =
+        headers.getAll(CallerProtocol.IDEMPOTENCY_KEY_HEADER).size() <= 1
+            && key.map(NativeCallerDialect::isKey).orElse(true);
+    if (!keyWellFormed) {
+      return Optional.empty();
+    }
+    if ((deadline != null && !isNumber(deadline)) || (attempt != null && !isNumber(attempt))) {
+      return Optional.empty();
+    }
+    OptionalLong deadlineMs =
+        deadline == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(deadline));
+    return Optional.of(
+        new RequestMark(
+            deadlineMs, attempt == null ? 1 : Integer.parseInt(attempt), key, Optional.empty()));
+  }
+
+  private static boolean isKey(String text) {
+    return !text.isEmpty()
+        && text.length() <= CallerProtocol.IDEMPOTENCY_KEY_LIMIT
+        && text.chars().allMatch(c -> c > ' ' && c < MAX_ASCII);
+  }
+
+  private static boolean isNumber(String text) {
+    return !text.isEmpty()
+        && text.length() <= MAX_DIGITS
+        && text.chars().allMatch(c -> c >= '0' && c <= '9');
+  }
+
+  @Override
+  public FullHttpResponse error(ErrorKind kind, long retryAfterMs) {
+    return ErrorAnswer.of(kind, retryAfterMs);
+  }
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/RetryBudgets.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/RetryBudgets.java
@@ -1,7 +1,9 @@
 package org.waxwingbeam.caller.net;
 
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
 import org.waxwingbeam.caller.RetryBudget;
+import org.waxwingbeam.caller.SuccessShareBudget;
 import org.waxwingbeam.model.ServiceName;
 
 /**
@@ -11,9 +13,24 @@
  */
 public final class RetryBudgets {
   private final ConcurrentHashMap<ServiceName, RetryBudget> budgets = new ConcurrentHashMap<>();
+  private final Supplier<RetryBudget> factory;
+
+  /** Creates budgets that are shares of each service's successes. */
+  public RetryBudgets() {
+    this(SuccessShareBudget::new);
+  }
+
+  /**
+   * Creates budgets of another kind.
+   *
+   * @param factory creates the budget of a service
+   */
+  public RetryBudgets(Supplier<RetryBudget> factory) {
+    this.factory = factory;
+  }
 
   RetryBudget of(ServiceName service) {
     RetryBudget known = budgets.get(service);
-    return known != null ? known : budgets.computeIfAbsent(service, key -> new RetryBudget());
+    return known != null ? known : budgets.computeIfAbsent(service, key -> factory.get());
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/model/Parameter.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/model/Parameter.java
@@ -43,7 +43,13 @@
   /** Connections to one target, shared by all entry instances. */
   CONNECTION_LIMIT(Unit.COUNT, 200, 1, 100_000),
   /** Time for which a request that crashed targets is refused. */
-  POISON_RETENTION(Unit.MILLISECONDS, 600_000, 1_000, 86_400_000);
+  POISON_RETENTION(Unit.MILLISECONDS, 600_000, 1_000, 86_400_000),
+
+  /** The most targets that one request is sent to. */
+  MAX_ATTEMPTS(Unit.COUNT, 3, 1, 10),
+
+  /** Time from a request's arrival within which an answer has its full worth. */
+  RESPONSE_GOAL(Unit.MILLISECONDS, 10_000, 1, 3_600_000);
 
   private final Unit unit;
   private final long defaultValue;
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/operator/RoutingDocumentCheck.java
@@ -0,0 +1,67 @@
+package org.waxwingbeam.operator;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.waxwingbeam.wire.routing.HostRoute;
+import org.waxwingbeam.wire.routing.RoutingDocument;
+import org.waxwingbeam.wire.routing.ServiceTerms;
+import org.waxwingbeam.wire.routing.WeightedService;
+
+/**
+ * Checks a routing document before it is accepted.
+ *
+ * <pre>{@code
+ * List<String> faults = RoutingDocumentCheck.faults(document);
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+public final class RoutingDocumentCheck {
+  private RoutingDocumentCheck() {}
+
+  /** Returns what is wrong with a document, one sentence for each fault; empty if it is valid. */
+  public static List<String> faults(RoutingDocument document) {
+    Set<String> services =
+        document.getServicesList().stream()
+            .map(ServiceTerms::getName)
+            .collect(Collectors.toUnmodifiableSet());
+    return Stream.concat(
+            document.getServicesList().stream()
+                .filter(each -> each.getName().isEmpty())
+                .map(each -> "a service has no name: expected one"),
+            document.getRoutesList().stream().flatMap(each -> faults(each, services)))
+        .toList();
+  }
+
+  private static Stream<String> faults(HostRoute route, Set<String> services) {
+    Stream.Builder<String> faults = Stream.builder();
+    if (route.getHost().isBlank()) {
+      faults.add("route '%s': expected a host, found none".formatted(route.getName()));
+    }
+    if (!route.getPathPrefix().startsWith("/")) {
+      faults.add(
+          "route '%s': path prefix '%s': expected one that begins with a slash"
+              .formatted(route.getName(), route.getPathPrefix()));
+    }
+    double weight = route.getServicesList().stream().mapToDouble(WeightedService::getWeight).sum();
+    boolean negative =
+        route.getServicesList().stream()
+            .anyMatch(each -> each.getWeight() < 0 || Double.isNaN(each.getWeight()));
+    if (negative || !(weight > 0)) {
+      faults.add(
+          "route '%s': expected weights that add up to more than 0, found %s"
+              .formatted(route.getName(), weight));
+    }
+    route.getServicesList().stream()
+        .map(WeightedService::getService)
+        .filter(each -> !services.contains(each))
+        .forEach(
+            each ->
+                faults.add(
+                    "route '%s': service '%s': expected one of the document's services"
+                        .formatted(route.getName(), each)));
+    return faults.build();
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/operator/RoutingMachine.java
@@ -0,0 +1,141 @@
+package org.waxwingbeam.operator;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.waxwingbeam.wire.routing.PutDocument;
+import org.waxwingbeam.wire.routing.RoutingChange;
+import org.waxwingbeam.wire.routing.RoutingSnapshot;
+import org.waxwingbeam.wire.routing.RoutingState;
+import org.waxwingbeam.wire.routing.ServiceMove;
+
+/**
+ * Applies the changes that operators order for routed services: whole routing documents, data
+ * centres that leave and return, and moves between versions. The same changes in the same order
+ * always give the same state.
+ *
+ * <pre>{@code
+ * RoutingMachine machine = new RoutingMachine();
+ * boolean changed = machine.apply(change);
+ * RoutingState state = machine.state();
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+public final class RoutingMachine {
+  private RoutingState state = RoutingState.getDefaultInstance();
+  private ByteString source = ByteString.EMPTY;
+
+  /**
+   * Applies one change. A change that was applied before, and a document whose version is not
+   * higher than the present one, change nothing.
+   *
+   * @return whether the state is another one now
+   */
+  public boolean apply(RoutingChange change) {
+    RoutingState.Builder next = state.toBuilder();
+    boolean changed =
+        switch (change.getKindCase()) {
+          case PUT_DOCUMENT -> put(next, change.getPutDocument());
+          case TAKE_DATA_CENTRE_OUT -> takeOut(next, change.getTakeDataCentreOut());
+          case BRING_DATA_CENTRE_IN -> bringIn(next, change.getBringDataCentreIn());
+          case ORDER_MOVE -> order(next, change.getOrderMove());
+          case ADVANCE_MOVE -> advance(next, change.getAdvanceMove());
+          case KIND_NOT_SET -> false;
+        };
+    if (changed) {
+      state = next.setRevision(state.getRevision() + 1).build();
+    }
+    return changed;
+  }
+
+  private boolean put(RoutingState.Builder next, PutDocument put) {
+    boolean newer =
+        !state.hasDocument()
+            || Long.compareUnsigned(
+                    put.getDocument().getVersion(), state.getDocument().getVersion())
+                > 0;
+    if (newer) {
+      next.setDocument(put.getDocument());
+      source = put.getSource();
+    }
+    return newer;
+  }
+
+  private static boolean takeOut(RoutingState.Builder next, String dataCentre) {
+    if (next.getDataCentresOutList().contains(dataCentre)) {
+      return false;
+    }
+    next.addDataCentresOut(dataCentre);
+    return true;
+  }
+
+  private static boolean bringIn(RoutingState.Builder next, String dataCentre) {
+    List<String> others =
+        next.getDataCentresOutList().stream().filter(each -> !each.equals(dataCentre)).toList();
+    if (others.size() == next.getDataCentresOutCount()) {
+      return false;
+    }
+    next.clearDataCentresOut().addAllDataCentresOut(others);
+    return true;
+  }
+
+  private boolean order(RoutingState.Builder next, ServiceMove move) {
+    Optional<ServiceMove> latest = move(move.getService());
+    if (latest.map(ServiceMove::getTo).filter(move.getTo()::equals).isPresent()) {
+      return false;
+    }
+    long number = latest.map(ServiceMove::getNumber).orElse(0L) + 1;
+    replace(next, move.toBuilder().setNumber(number).setState(ServiceMove.State.RUNNING).build());
+    return true;
+  }
+
+  private boolean advance(RoutingState.Builder next, ServiceMove move) {
+    Optional<ServiceMove> running =
+        move(move.getService())
+            .filter(each -> each.getNumber() == move.getNumber())
+            .filter(each -> each.getState() == ServiceMove.State.RUNNING)
+            .filter(each -> !each.equals(move));
+    running.ifPresent(each -> replace(next, move));
+    return running.isPresent();
+  }
+
+  private void replace(RoutingState.Builder next, ServiceMove move) {
+    List<ServiceMove> moves =
+        Stream.concat(
+                state.getMovesList().stream()
+                    .filter(each -> !each.getService().equals(move.getService())),
+                Stream.of(move))
+            .toList();
+    next.clearMoves().addAllMoves(moves);
+  }
+
+  /** Returns the latest move of a service, if any was ordered. */
+  public Optional<ServiceMove> move(String service) {
+    return state.getMovesList().stream()
+        .filter(each -> each.getService().equals(service))
+        .findFirst();
+  }
+
+  /** Returns everything that has been ordered. */
+  public RoutingState state() {
+    return state;
+  }
+
+  /** Returns the document in force as the operator wrote it; empty if there is none. */
+  public ByteString source() {
+    return source;
+  }
+
+  /** Returns the whole state for a snapshot of the log. */
+  public RoutingSnapshot snapshot() {
+    return RoutingSnapshot.newBuilder().setState(state).setSource(source).build();
+  }
+
+  /** Replaces the whole state by one that {@link #snapshot} returned. */
+  public void restore(RoutingSnapshot snapshot) {
+    state = snapshot.getState();
+    source = snapshot.getSource();
+  }
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/platform/EntryCondition.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/readiness/EntryCondition.java
@@ -1,4 +1,4 @@
-package org.waxwingbeam.platform;
+package org.waxwingbeam.readiness;
 
 import java.util.Optional;
 import org.waxwingbeam.model.ErrorKind;
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/platform/net/PlatformServer.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/readiness/net/ReadinessServer.java
@@ -1,4 +1,4 @@
-package org.waxwingbeam.platform.net;
+package org.waxwingbeam.readiness.net;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
@@ -33,12 +33,13 @@
  *
  * @since 0.1.0
  */
-public final class PlatformServer implements AutoCloseable {
+public final class ReadinessServer implements AutoCloseable {
   private static final String LIVE_PATH = "/live";
-  private static final String READY_PATH = "/ready";
+  private static final String DEFAULT_READY_PATH = "/ready";
   private static final int REQUEST_LIMIT_BYTES = 4_096;
   private static final int IDLE_TIMEOUT_S = 60;
 
+  private final String readyPath;
   private final Supplier<Optional<ErrorKind>> refusal;
   private final Channel listener;
 
@@ -49,8 +50,25 @@
    * @param endpoint where the platform connects
    * @param refusal returns why no new request is taken, or empty
    */
-  public PlatformServer(
+  public ReadinessServer(
       EventLoopGroup group, Endpoint endpoint, Supplier<Optional<ErrorKind>> refusal) {
+    this(group, endpoint, DEFAULT_READY_PATH, refusal);
+  }
+
+  /**
+   * Starts to listen, and answers for readiness on a path of its own.
+   *
+   * @param group runs the connections
+   * @param endpoint where the platform connects
+   * @param readyPath the path that is asked for readiness
+   * @param refusal returns why no new request is taken, or empty
+   */
+  public ReadinessServer(
+      EventLoopGroup group,
+      Endpoint endpoint,
+      String readyPath,
+      Supplier<Optional<ErrorKind>> refusal) {
+    this.readyPath = readyPath;
     this.refusal = refusal;
     this.listener =
         new ServerBootstrap()
@@ -68,15 +86,17 @@
   }
 
   private FullHttpResponse answer(String path) {
-    return switch (path) {
-      case LIVE_PATH -> answer(HttpResponseStatus.OK, "live\n");
-      case READY_PATH ->
-          refusal
-              .get()
-              .map(kind -> answer(HttpResponseStatus.SERVICE_UNAVAILABLE, kind.code() + "\n"))
-              .orElseGet(() -> answer(HttpResponseStatus.OK, "ready\n"));
-      default -> answer(HttpResponseStatus.NOT_FOUND, "expected /live or /ready\n");
-    };
+    if (path.equals(LIVE_PATH)) {
+      return answer(HttpResponseStatus.OK, "live\n");
+    }
+    if (!path.equals(readyPath)) {
+      return answer(
+          HttpResponseStatus.NOT_FOUND, "expected %s or %s\n".formatted(LIVE_PATH, readyPath));
+    }
+    return refusal
+        .get()
+        .map(kind -> answer(HttpResponseStatus.SERVICE_UNAVAILABLE, kind.code() + "\n"))
+        .orElseGet(() -> answer(HttpResponseStatus.OK, "ready\n"));
   }
 
   private static FullHttpResponse answer(HttpResponseStatus status, String text) {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/platform/net/package-info.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/readiness/net/package-info.java
@@ -1,2 +1,2 @@
 /** Answers the platform's readiness and liveness checks over HTTP. */
-package org.waxwingbeam.platform.net;
+package org.waxwingbeam.readiness.net;
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/platform/package-info.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/readiness/package-info.java
@@ -1,2 +1,2 @@
 /** Decides what an entry instance tells the platform that it runs on. */
-package org.waxwingbeam.platform;
+package org.waxwingbeam.readiness;
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/CommandResult.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/CommandResult.java
@@ -29,6 +29,13 @@
     }
   }
 
+  /**
+   * The outcome of a change of the routing state.
+   *
+   * @param changed whether the state is another one now
+   */
+  record Routing(boolean changed) implements CommandResult {}
+
   /** The command has no answer of its own. */
   record Done() implements CommandResult {}
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/KnownReplicas.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/KnownReplicas.java
@@ -20,15 +20,18 @@
  */
 public final class KnownReplicas {
   private final List<Endpoint> initial;
+  private final boolean mayCreate;
   private final Map<String, ReplicaHello> helloByAddress = new TreeMap<>();
 
   /**
    * Starts without knowing any replica.
    *
    * @param initial the addresses of the first voters
+   * @param mayCreate whether this replica may create a log at all
    */
-  public KnownReplicas(List<Endpoint> initial) {
+  public KnownReplicas(List<Endpoint> initial, boolean mayCreate) {
     this.initial = List.copyOf(initial);
+    this.mayCreate = mayCreate;
   }
 
   /** Notes what a replica has said; it replaces what its address had said before. */
@@ -48,7 +51,7 @@
    * @param ownAddress its address as the settings have it
    */
   public Optional<List<ReplicaMember>> founders(ReplicaMember own, Endpoint ownAddress) {
-    if (initial.isEmpty() || !initial.getFirst().equals(ownAddress)) {
+    if (!mayCreate || initial.isEmpty() || !initial.getFirst().equals(ownAddress)) {
       return Optional.empty();
     }
     List<ReplicaMember> voters =
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Replica.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Replica.java
@@ -452,6 +452,18 @@
     return ReplicaStatuses.of(this, nowNanos);
   }
 
+  /**
+   * Returns whether this replica has lately been in contact with a majority: as the leader, or
+   * through one.
+   *
+   * @param nowNanos the present time
+   */
+  public boolean isInTouch(long nowNanos) {
+    return role == ReplicaRole.LEADER
+        ? leadership.filter(each -> each.majorityHoldsLease(nowNanos)).isPresent()
+        : leaderId.isPresent() && timer.keepsLeader(nowNanos);
+  }
+
   /** Returns whether the newest membership is committed and the leader may begin to change it. */
   boolean mayChangeMembership() {
     return log.membershipIndex() <= commitIndex
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaReplacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaReplacement.java
@@ -80,6 +80,37 @@
     }
   }
 
+  /**
+   * Lets a learner that has caught up become a further voter, if the voters that answer would still
+   * be a majority.
+   *
+   * @param nowNanos the present time
+   * @param learnerId the learner
+   */
+  public void promote(long nowNanos, String learnerId) {
+    change(nowNanos, MembershipChange.promoted(replica.membership(), learnerId));
+  }
+
+  /**
+   * Removes a voter, if the voters that answer would still be a majority.
+   *
+   * @param nowNanos the present time
+   * @param voterId the voter
+   */
+  public void removeVoter(long nowNanos, String voterId) {
+    change(nowNanos, MembershipChange.withoutVoter(replica.membership(), voterId));
+  }
+
+  private void change(long nowNanos, Membership after) {
+    long answering =
+        after.getVotersList().stream().filter(each -> answers(nowNanos, each.getId())).count();
+    if (running || !replica.mayChangeMembership() || answering < MembershipChange.majority(after)) {
+      return;
+    }
+    running = true;
+    propose(after, outcome -> running = false);
+  }
+
   private Optional<String> refusal(long nowNanos, String oldId, String newId) {
     Membership before = replica.membership();
     if (running || !replica.mayChangeMembership()) {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicatedState.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicatedState.java
@@ -11,6 +11,7 @@
 import org.waxwingbeam.operator.ConfigurationEditor;
 import org.waxwingbeam.operator.EditResult;
 import org.waxwingbeam.operator.MalformedMessageException;
+import org.waxwingbeam.operator.RoutingMachine;
 import org.waxwingbeam.wire.control.AcceptedChange;
 import org.waxwingbeam.wire.control.EntryMember;
 import org.waxwingbeam.wire.control.EntryView;
@@ -41,6 +42,7 @@
   private final ClaimMachine claims;
   private final RememberedAnswers answers = new RememberedAnswers(RememberedAnswers.MAX_ANSWERS);
   private final Deque<HistoryEntry> history = new ArrayDeque<>();
+  private final RoutingMachine routing = new RoutingMachine();
   private Configuration configuration = Configuration.EMPTY;
   private EntryView view = EntryView.getDefaultInstance();
 
@@ -59,6 +61,7 @@
       case CHANGE -> new CommandResult.Change(change(command.getChange()));
       case CHANGE_ENTRY_VIEW -> changeView(command.getChangeEntryView());
       case CLAIMS -> claim(command.getClaims());
+      case ROUTING -> new CommandResult.Routing(routing.apply(command.getRouting()));
       case NO_OPERATION, MEMBERSHIP, KIND_NOT_SET -> new CommandResult.Done();
     };
   }
@@ -143,6 +146,11 @@
     return ConfigurationCodec.encode(configuration);
   }
 
+  /** Returns what operators have ordered for routed services. */
+  public RoutingMachine routing() {
+    return routing;
+  }
+
   /** Returns the newest entry view. */
   public EntryView view() {
     return view;
@@ -182,6 +190,7 @@
         .addAllHistory(history)
         .addAllAnswers(answers.all())
         .setClaims(claims.snapshot())
+        .setRouting(routing.snapshot())
         .build();
   }
 
@@ -197,5 +206,6 @@
     history.addAll(snapshot.getHistoryList());
     answers.restore(snapshot.getAnswersList());
     claims.restore(snapshot.getClaims());
+    routing.restore(snapshot.getRouting());
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaHost.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaHost.java
@@ -12,6 +12,7 @@
 import java.util.stream.Stream;
 import org.waxwingbeam.replica.CommandLog;
 import org.waxwingbeam.replica.KnownReplicas;
+import org.waxwingbeam.replica.MembershipKeeper;
 import org.waxwingbeam.replica.ProposalOutcome;
 import org.waxwingbeam.replica.Replica;
 import org.waxwingbeam.replica.ReplicaReplacement;
@@ -36,6 +37,7 @@
   private final Replica replica;
   private final ReplicaReplacement replacement;
   private final KnownReplicas known;
+  private final MembershipKeeper keeper;
   private final Settings settings;
   private final Listener listener;
   private final ReplicaLinks links;
@@ -52,15 +54,32 @@
    * @param entries where it takes entry instances
    * @param initial the addresses of the first voters
    * @param token the credential of the system's own processes
+   * @param growth how the membership changes without an operator
    */
   public record Settings(
-      Endpoint replicas, Endpoint entries, List<Endpoint> initial, String token) {
+      Endpoint replicas, Endpoint entries, List<Endpoint> initial, String token, Growth growth) {
+    /** States where a replica runs whose membership only operators change. */
+    public Settings(Endpoint replicas, Endpoint entries, List<Endpoint> initial, String token) {
+      this(replicas, entries, initial, token, Growth.BY_OPERATORS);
+    }
+
     @Override
     public String toString() {
       return "Settings[replicas=" + replicas + "]";
     }
   }
 
+  /**
+   * Says how the membership changes without an operator.
+   *
+   * @param mayCreate whether this replica may create a log
+   * @param wantedVoters the number of voters to reach; 0 leaves every change to operators
+   */
+  public record Growth(boolean mayCreate, int wantedVoters) {
+    /** Operators make every change. */
+    public static final Growth BY_OPERATORS = new Growth(true, 0);
+  }
+
   /** Takes what the replica does, on its event loop. */
   public interface Listener {
     /** Called when this replica has begun to lead and may answer. */
@@ -90,7 +109,8 @@
     this.settings = settings;
     this.listener = listener;
     replacement = new ReplicaReplacement(replica);
-    known = new KnownReplicas(settings.initial());
+    known = new KnownReplicas(settings.initial(), settings.growth().mayCreate());
+    keeper = new MembershipKeeper(replica, replacement, settings.growth().wantedVoters());
     links =
         new ReplicaLinks(
             group, settings.replicas(), settings.token(), this::hello, known::heard, this::receive);
@@ -136,7 +156,11 @@
     if (replica.isFresh()) {
       known.founders(member(), settings.replicas()).ifPresent(replica::found);
     }
-    known.all().forEach(hello -> replacement.admit(hello.getMember(), hello.getFresh()));
+    if (settings.growth().wantedVoters() > 0) {
+      keeper.tick(now, known.all());
+    } else {
+      known.all().forEach(hello -> replacement.admit(hello.getMember(), hello.getFresh()));
+    }
     replica.tick(now);
     flush();
     listener.ticked(now);
@@ -223,6 +247,15 @@
     return known;
   }
 
+  /** Returns where the leader takes other replicas, if it is known and is another replica. */
+  public Optional<Endpoint> leaderAddress() {
+    return replica
+        .leaderId()
+        .flatMap(known::byId)
+        .map(ReplicaHello::getMember)
+        .map(KnownReplicas::address);
+  }
+
   /** Returns where the leader takes entry instances, if it is known and is another replica. */
   public Optional<Endpoint> leaderEntries() {
     return replica
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Decision.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Decision.java
@@ -1,5 +1,6 @@
 package org.waxwingbeam.target;
 
+import java.util.Optional;
 import org.waxwingbeam.model.ErrorKind;
 import org.waxwingbeam.model.TargetId;
 import org.waxwingbeam.model.VersionName;
@@ -19,8 +20,15 @@
    * @param attemptId the attempt
    * @param target where to send the request
    * @param version the version that the target runs
+   * @param instance the identity that the target has stated, if it states one
    */
-  record Assigned(long attemptId, TargetId target, VersionName version) implements Decision {}
+  record Assigned(long attemptId, TargetId target, VersionName version, Optional<String> instance)
+      implements Decision {
+    /** Assigns a target that states no identity. */
+    public Assigned(long attemptId, TargetId target, VersionName version) {
+      this(attemptId, target, version, Optional.empty());
+    }
+  }
 
   /**
    * Keeps the attempt waiting. A later call to the dispatcher returns its final decision.
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/DispatchRequest.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/DispatchRequest.java
@@ -17,6 +17,7 @@
  * @param shedRank 0 is shed last, 9 first
  * @param queueLimit requests that may wait for this service at this entry instance
  * @param deadlineNanos when the request must have started, on the entry's monotonic clock
+ * @param goalNanos when its answer loses most of its worth, on the entry's monotonic clock
  * @param excluded targets that earlier attempts at the request have used
  * @since 0.1.0
  */
@@ -29,4 +30,5 @@
     int shedRank,
     int queueLimit,
     long deadlineNanos,
+    long goalNanos,
     Set<TargetId> excluded) {}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Outcome.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Outcome.java
@@ -16,6 +16,8 @@
   REFUSED_COLD,
   /** The target refused the request unrun because it is draining. */
   REFUSED_DRAINING,
+  /** The address belongs to another target now; the request did not run. */
+  REFUSED_WRONG_TARGET,
   /** No connection could be opened. */
   CONNECT_FAILED,
   /** The connection ended, or the answer was malformed, after the request was begun. */
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/TargetHealth.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/TargetHealth.java
@@ -42,7 +42,8 @@
         noteFailure(nowNanos);
       }
       case TIMED_OUT -> noteSlow(nowNanos);
-      case REFUSED_COLD, REFUSED_DRAINING -> hold(nowNanos, latencyNanos, typicalNanos);
+      case REFUSED_COLD, REFUSED_DRAINING, REFUSED_WRONG_TARGET ->
+          hold(nowNanos, latencyNanos, typicalNanos);
       default -> {} // a cancelled attempt tells nothing
     }
   }
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/NativeTargetDialect.java
@@ -0,0 +1,62 @@
+package org.waxwingbeam.target.net;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Optional;
+import org.waxwingbeam.caller.RetryReason;
+import org.waxwingbeam.target.LoadReport;
+import org.waxwingbeam.target.TargetProtocol;
+
+/**
+ * Speaks the system's own protocol with targets, see {@link TargetProtocol}.
+ *
+ * @since 0.1.0
+ */
+public final class NativeTargetDialect implements TargetDialect {
+  /** Creates the dialect. */
+  public NativeTargetDialect() {}
+
+  @Override
+  public void mark(HttpHeaders headers, Delivery delivery) {
+    headers.set(TargetProtocol.DEADLINE_HEADER, delivery.leftMs());
+    headers.set(TargetProtocol.ATTEMPT_HEADER, delivery.attempt());
+    headers.set(TargetProtocol.REQUEST_ID_HEADER, delivery.requestId());
+  }
+
+  @Override
+  public Optional<String> echoedRequestId(HttpHeaders headers) {
+    return Optional.ofNullable(headers.get(TargetProtocol.REQUEST_ID_HEADER));
+  }
+
+  @Override
+  public Optional<LoadReport> load(HttpHeaders headers) {
+    return LoadHeader.parse(headers.get(TargetProtocol.LOAD_HEADER));
+  }
+
+  @Override
+  public AnswerSign sign(HttpResponse head) {
+    String refusal = head.headers().get(TargetProtocol.REFUSED_HEADER);
+    if (refusal == null || !head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+      return new AnswerSign.Answered();
+    }
+    return switch (refusal) {
+      case "cold" -> new AnswerSign.Refused(RetryReason.REFUSED_COLD);
+      case "draining" -> new AnswerSign.Refused(RetryReason.REFUSED_DRAINING);
+      case "overloaded" -> new AnswerSign.Refused(RetryReason.REFUSED_OVERLOADED);
+      default -> new AnswerSign.Answered();
+    };
+  }
+
+  @Override
+  public boolean acceptsUndelimited() {
+    return false;
+  }
+
+  @Override
+  public void keepForCaller(HttpHeaders headers) {
+    headers.remove(TargetProtocol.LOAD_HEADER);
+    headers.remove(TargetProtocol.REFUSED_HEADER);
+    headers.remove(TargetProtocol.REQUEST_ID_HEADER);
+  }
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
@@ -14,8 +14,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.Optional;
 import org.waxwingbeam.model.TargetId;
-import org.waxwingbeam.target.TargetProtocol;
 
 /**
  * One connection to a target. It carries one exchange at a time, and is used again only after a
@@ -35,6 +35,7 @@
   private final TargetId target;
   private final TargetPool pool;
   private final AnswerDecoder decoder;
+  private final TargetDialect dialect;
   private Channel channel;
 
   private AnswerReceiver receiver;
@@ -48,10 +49,11 @@
   private boolean echoesRequestId;
   private int exchanges;
 
-  TargetConnection(TargetId target, TargetPool pool, AnswerDecoder decoder) {
+  TargetConnection(TargetId target, TargetPool pool, AnswerDecoder decoder, TargetDialect dialect) {
     this.target = target;
     this.pool = pool;
     this.decoder = decoder;
+    this.dialect = dialect;
   }
 
   @Override
@@ -145,11 +147,13 @@
       fail(answerBegunOrMalformed());
     } else if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       onInformational(head);
-    } else if (!isExpected(head)) {
+      return;
+    }
+    reusable = HttpUtil.isKeepAlive(head);
+    if (!isExpected(head)) {
       fail(ExchangeFailure.MALFORMED_ANSWER);
     } else {
       answerBegun = true;
-      reusable = HttpUtil.isKeepAlive(head);
       receiver.onHead(head);
     }
   }
@@ -167,12 +171,15 @@
   }
 
   private boolean isExpected(HttpResponse head) {
-    String echoed = head.headers().get(TargetProtocol.REQUEST_ID_HEADER);
-    if (echoed == null ? echoesRequestId : !echoed.equals(requestId)) {
+    Optional<String> echoed = dialect.echoedRequestId(head.headers());
+    if (echoed.isEmpty() ? echoesRequestId : !echoed.get().equals(requestId)) {
       return false;
     }
-    echoesRequestId = echoed != null;
-    return bytesWritten && AnswerFraming.isDelimited(head, toHeadRequest);
+    echoesRequestId = echoed.isPresent();
+    boolean delimited = AnswerFraming.isDelimited(head, toHeadRequest);
+    // An answer without a length ends with its connection and is whole unless that is reset.
+    reusable &= delimited;
+    return bytesWritten && (delimited || dialect.acceptsUndelimited());
   }
 
   private void onContent(HttpContent content) {
@@ -245,6 +252,9 @@
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     if (receiver != null && cause instanceof io.netty.handler.codec.DecoderException) {
       fail(ExchangeFailure.MALFORMED_ANSWER);
+    } else if (receiver != null) {
+      // The decoder would end an answer without a length here as if it were whole.
+      fail(lost());
     } else {
       channel.close();
     }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnections.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnections.java
@@ -28,8 +28,27 @@
 public final class TargetConnections {
   private static final int CONNECT_TIMEOUT_MS = 1_000;
 
+  private final TargetDialect dialect;
+  private final int connectTimeoutMs;
+
   private final ConcurrentHashMap<TargetId, TargetPool> pools = new ConcurrentHashMap<>();
 
+  /** Creates an empty table for targets that speak the system's own protocol. */
+  public TargetConnections() {
+    this(new NativeTargetDialect(), CONNECT_TIMEOUT_MS);
+  }
+
+  /**
+   * Creates an empty table.
+   *
+   * @param dialect how targets are spoken with
+   * @param connectTimeoutMs time after which an attempt to connect is given up
+   */
+  public TargetConnections(TargetDialect dialect, int connectTimeoutMs) {
+    this.dialect = dialect;
+    this.connectTimeoutMs = connectTimeoutMs;
+  }
+
   /**
    * Finds an idle connection or opens one. If the limit is reached, waits for one to become free.
    *
@@ -60,12 +79,12 @@
   private void open(
       TargetPool pool, EventLoop loop, Consumer<Optional<TargetConnection>> receiver) {
     AnswerDecoder decoder = new AnswerDecoder();
-    TargetConnection connection = new TargetConnection(pool.target(), pool, decoder);
+    TargetConnection connection = new TargetConnection(pool.target(), pool, decoder, dialect);
     ChannelFuture opening =
         new Bootstrap()
             .group(loop)
             .channel(NioSocketChannel.class)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
             .option(ChannelOption.TCP_NODELAY, true)
             .handler(new Pipeline(decoder, connection))
             .connect(new InetSocketAddress(pool.target().host(), pool.target().port()));
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetDialect.java
@@ -0,0 +1,42 @@
+package org.waxwingbeam.target.net;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
+import org.waxwingbeam.target.LoadReport;
+
+/**
+ * Says how requests to targets are marked and how their answers are read. Each protocol that
+ * targets speak has one.
+ *
+ * @since 0.1.0
+ */
+public interface TargetDialect {
+  /** Marks a request that is about to be sent to a target. */
+  void mark(HttpHeaders headers, Delivery delivery);
+
+  /** Returns the request id that an answer repeats, if it repeats one. */
+  Optional<String> echoedRequestId(HttpHeaders headers);
+
+  /** Returns what an answer says of the target's load. */
+  Optional<LoadReport> load(HttpHeaders headers);
+
+  /** Returns what the head of an answer means. */
+  AnswerSign sign(HttpResponse head);
+
+  /** Returns whether an answer without a length may end with its connection. */
+  boolean acceptsUndelimited();
+
+  /** Removes what a target says to the system only from an answer's headers. */
+  void keepForCaller(HttpHeaders headers);
+
+  /**
+   * Describes one sending of a request.
+   *
+   * @param requestId identifies the request across attempts
+   * @param leftMs milliseconds left until its deadline, at least 1
+   * @param attempt 1 for the first attempt, 2 for its first retry
+   * @param instance the identity that the target has stated, if it states one
+   */
+  record Delivery(String requestId, long leftMs, int attempt, Optional<String> instance) {}
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/LoadEstimate.java
@@ -0,0 +1,56 @@
+package org.waxwingbeam.target.placement;
+
+import java.util.concurrent.TimeUnit;
+import org.waxwingbeam.target.LoadReport;
+
+/**
+ * Estimates the load and the slowness of one target from its newest report. A report loses its
+ * weight with age: the older it is, the more the estimate goes back to the average of the service.
+ */
+final class LoadEstimate {
+  /** Age at which a report of slowness has lost two thirds of its weight. */
+  private static final double SLOWNESS_MEMORY_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+  /** Age at which a report of other entry instances' requests has lost two thirds of its weight. */
+  private static final double LOAD_MEMORY_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+  private static final double USUAL = LoadReport.USUAL_SLOWNESS_PERCENT;
+
+  private long reportNanos;
+  private boolean reported;
+  private double others;
+  private double slowness = 1;
+
+  /**
+   * Takes in a report.
+   *
+   * @param nowNanos when the target made it
+   * @param report the report
+   * @param ownInFlight requests of this entry instance that the report counts
+   */
+  void note(long nowNanos, LoadReport report, int ownInFlight) {
+    if (reported && nowNanos - reportNanos < 0) {
+      return;
+    }
+    reported = true;
+    reportNanos = nowNanos;
+    others = Math.max(0, report.inFlight() + report.queued() - ownInFlight);
+    slowness = Math.max(1, report.slownessPercent() / USUAL);
+  }
+
+  /** Returns the requests of other entry instances that are probably at the target. */
+  double others(long nowNanos, double average) {
+    double weight = weight(nowNanos, LOAD_MEMORY_NANOS);
+    return others * weight + average * (1 - weight);
+  }
+
+  /** Returns how many times as long as usual work probably takes. */
+  double slowness(long nowNanos, double average) {
+    double weight = weight(nowNanos, SLOWNESS_MEMORY_NANOS);
+    return slowness * weight + average * (1 - weight);
+  }
+
+  private double weight(long nowNanos, double memoryNanos) {
+    return reported ? Math.exp(-Math.max(0, nowNanos - reportNanos) / memoryNanos) : 0;
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/MoveCourse.java
@@ -0,0 +1,110 @@
+package org.waxwingbeam.target.placement;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.waxwingbeam.wire.feed.VersionCounts;
+import org.waxwingbeam.wire.feed.VersionEvidence;
+import org.waxwingbeam.wire.routing.ServiceMove;
+
+/**
+ * Decides on the course of one move between versions: the new version gets a small share until
+ * shortly before the time limit, and the move is done if its answers were as good as those of the
+ * old one. It is rolled back as soon as they are clearly worse.
+ */
+public final class MoveCourse {
+  /** Share of the requests that an unproven version gets. */
+  private static final int TRIAL_SHARE_PER_MILLE = 60;
+
+  /** Part of the time allowed after which a version that has proved good takes over. */
+  private static final double DECISION_PART = 0.8;
+
+  /** Pause between two proposals for the same move. */
+  private static final long PROPOSAL_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  /** Bad answers of the new version that are needed to roll it back. */
+  private static final int MIN_BAD = 6;
+
+  /** How many times the bad share of the new version must exceed that of the old one. */
+  private static final double BAD_RATIO = 3;
+
+  private static final double MIN_BAD_SHARE = 0.08;
+  private static final long NANOS_PER_MS = 1_000_000;
+
+  private final long number;
+  private final long startNanos;
+  private final long allowedNanos;
+  private long nextProposalNanos;
+  private long answersBefore;
+  private long badBefore;
+  private long answersAfter;
+  private long badAfter;
+
+  /**
+   * Begins to watch a move.
+   *
+   * @param nowNanos when this replica has learned of it
+   * @param move the move
+   */
+  public MoveCourse(long nowNanos, ServiceMove move) {
+    number = move.getNumber();
+    startNanos = nowNanos;
+    nextProposalNanos = nowNanos;
+    allowedNanos = move.getDurationMs() * NANOS_PER_MS;
+  }
+
+  /** Returns the number of the move. */
+  public long number() {
+    return number;
+  }
+
+  /** Takes what an entry instance has seen. */
+  public void observe(VersionEvidence evidence) {
+    answersBefore += evidence.getBefore().getAnswers();
+    badBefore += bad(evidence.getBefore());
+    answersAfter += evidence.getAfter().getAnswers();
+    badAfter += bad(evidence.getAfter());
+  }
+
+  private static long bad(VersionCounts counts) {
+    return counts.getFailures() + counts.getSlow();
+  }
+
+  /**
+   * Returns the next step of the move, if one is due.
+   *
+   * @param nowNanos the present time
+   * @param move the move as it stands
+   */
+  public Optional<ServiceMove> next(long nowNanos, ServiceMove move) {
+    if (nowNanos - nextProposalNanos < 0) {
+      return Optional.empty();
+    }
+    Optional<ServiceMove> next = decide(nowNanos, move).filter(each -> !each.equals(move));
+    next.ifPresent(each -> nextProposalNanos = nowNanos + PROPOSAL_PAUSE_NANOS);
+    return next;
+  }
+
+  private Optional<ServiceMove> decide(long nowNanos, ServiceMove move) {
+    if (isBad()) {
+      return Optional.of(
+          move.toBuilder().setState(ServiceMove.State.ROLLED_BACK).setSharePerMille(0).build());
+    }
+    if (nowNanos - startNanos >= allowedNanos * DECISION_PART) {
+      boolean proved = answersAfter > 0;
+      return Optional.of(
+          move.toBuilder()
+              .setState(proved ? ServiceMove.State.DONE : ServiceMove.State.ROLLED_BACK)
+              .setSharePerMille(proved ? 1_000 : 0)
+              .build());
+    }
+    return Optional.of(move.toBuilder().setSharePerMille(TRIAL_SHARE_PER_MILLE).build());
+  }
+
+  private boolean isBad() {
+    double shareBefore = (badBefore + 1.0) / (answersBefore + 20.0);
+    double shareAfter = (double) badAfter / Math.max(1, answersAfter);
+    return badAfter >= MIN_BAD
+        && shareAfter >= MIN_BAD_SHARE
+        && shareAfter >= BAD_RATIO * shareBefore;
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
@@ -0,0 +1,231 @@
+package org.waxwingbeam.target.placement;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
+import org.waxwingbeam.model.ErrorKind;
+import org.waxwingbeam.model.RouteName;
+import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.target.Completion;
+import org.waxwingbeam.target.Decision;
+import org.waxwingbeam.target.DispatchRequest;
+import org.waxwingbeam.target.LoadReport;
+import org.waxwingbeam.target.Outcome;
+import org.waxwingbeam.wire.feed.TargetRecord;
+import org.waxwingbeam.wire.routing.RoutingState;
+import org.waxwingbeam.wire.routing.ServiceMove;
+import org.waxwingbeam.wire.routing.ServiceTerms;
+
+/** Places the requests of one service on its targets. */
+final class ServicePlacement {
+  /** Retry-After where no target is known that may be used. */
+  private static final long NO_TARGET_RETRY_MS = 300;
+
+  /** Retry-After where no target can answer in time. */
+  private static final long OVERLOADED_RETRY_MS = 200;
+
+  /** Spread of the random factor that keeps entry instances from choosing the same target. */
+  private static final double JITTER = 0.1;
+
+  /** Targets in other data centres count as this much slower: their answers travel further. */
+  private static final double REMOTE_FACTOR = 1.04;
+
+  /** Weight of the newest answer in averages over the service. */
+  private static final double AVERAGE_WEIGHT = 0.05;
+
+  private static final long NANOS_PER_MS = 1_000_000;
+  private static final long DEFAULT_COLD_MS = 3_000;
+  private static final double DEFAULT_COLD_PER_SECOND = 4;
+
+  private final PlacementContext context;
+  private final RandomGenerator random;
+  private final VersionChoice versions;
+  private final Map<String, PlacedTarget> targets = new HashMap<>();
+  private final Map<RouteName, Double> usualNanos = new HashMap<>();
+  private ServiceTerms terms =
+      ServiceTerms.newBuilder()
+          .setColdStartMs((int) DEFAULT_COLD_MS)
+          .setColdPerSecond(DEFAULT_COLD_PER_SECOND)
+          .build();
+  private Optional<ServiceMove> move = Optional.empty();
+  private Set<String> dataCentresOut = Set.of();
+  private double averageSlowness = 1;
+  private double averageOthers;
+
+  ServicePlacement(PlacementContext context) {
+    this.context = context;
+    random = context.random();
+    versions = new VersionChoice(random.nextDouble());
+  }
+
+  void configure(String service, RoutingState state) {
+    state.getDocument().getServicesList().stream()
+        .filter(each -> each.getName().equals(service))
+        .findFirst()
+        .ifPresent(each -> terms = each);
+    move =
+        state.getMovesList().stream().filter(each -> each.getService().equals(service)).findFirst();
+    dataCentresOut = Set.copyOf(state.getDataCentresOutList());
+  }
+
+  void update(long nowNanos, TargetRecord record) {
+    if (record.getState() == TargetRecord.State.GONE) {
+      targets.remove(record.getId());
+      return;
+    }
+    PlacedTarget known = targets.get(record.getId());
+    boolean moved =
+        known == null
+            || !known.id().equals(new TargetId(record.getHost(), record.getPort()))
+            || known.record().getStartedMs() != record.getStartedMs()
+            || !known.version().value().equals(record.getVersion());
+    if (moved) {
+      targets.values().removeIf(each -> isReplacedBy(each, record));
+      known = new PlacedTarget(record, random);
+      targets.put(record.getId(), known);
+    }
+    known.update(nowNanos, record, coldIntervalNanos());
+  }
+
+  private static boolean isReplacedBy(PlacedTarget target, TargetRecord record) {
+    return target.record().getPort() == record.getPort()
+        && target.record().getHost().equals(record.getHost());
+  }
+
+  void noteReport(long reportNanos, TargetId target, LoadReport report) {
+    find(target).ifPresent(each -> each.noteReport(reportNanos, report));
+  }
+
+  private Optional<PlacedTarget> find(TargetId id) {
+    return targets.values().stream().filter(each -> each.id().equals(id)).findFirst();
+  }
+
+  private long coldIntervalNanos() {
+    return ColdPacer.intervalNanos(terms.getColdPerSecond(), context.fleetSize().getAsInt());
+  }
+
+  /** Decides on a request. */
+  Decision request(long nowNanos, DispatchRequest request) {
+    List<PlacedTarget> open =
+        targets.values().stream()
+            .filter(PlacedTarget::isReady)
+            .filter(each -> !dataCentresOut.contains(each.record().getDataCentre()))
+            .toList();
+    Predicate<String> version = versions.next(move, open, context.stops().isStopped(move));
+    Optional<PlacedTarget> chosen =
+        choose(nowNanos, request, open, version)
+            .or(() -> choose(nowNanos, request, open, this::isProven));
+    if (chosen.isEmpty()) {
+      return new Decision.Refused(request.attemptId(), ErrorKind.NO_TARGET, NO_TARGET_RETRY_MS);
+    }
+    if (!canAnswerInTime(nowNanos, request, chosen.get())) {
+      return new Decision.Refused(request.attemptId(), ErrorKind.OVERLOADED, OVERLOADED_RETRY_MS);
+    }
+    PlacedTarget target = chosen.get();
+    target.begin(nowNanos, coldIntervalNanos());
+    return new Decision.Assigned(
+        request.attemptId(), target.id(), target.version(), Optional.of(target.record().getId()));
+  }
+
+  /** Returns whether a version may serve what the chosen one cannot. */
+  private boolean isProven(String version) {
+    return move.map(each -> isProvenBy(each, version)).orElse(false);
+  }
+
+  private static boolean isProvenBy(ServiceMove move, String version) {
+    boolean isNew = move.getTo().equals(version);
+    return isNew == (move.getState() == ServiceMove.State.DONE);
+  }
+
+  private Optional<PlacedTarget> choose(
+      long nowNanos, DispatchRequest request, List<PlacedTarget> open, Predicate<String> version) {
+    List<PlacedTarget> fitting =
+        open.stream()
+            .filter(each -> version.test(each.record().getVersion()))
+            .filter(each -> !request.excluded().contains(each.id()))
+            .filter(each -> each.mayTake(nowNanos))
+            .toList();
+    return best(nowNanos, fitting.stream().filter(each -> each.trust().isUsable(nowNanos)))
+        .or(
+            () ->
+                fitting.stream()
+                    .min(Comparator.comparingLong(each -> each.trust().pausedUntilNanos())));
+  }
+
+  private Optional<PlacedTarget> best(long nowNanos, Stream<PlacedTarget> candidates) {
+    return candidates
+        .map(each -> new Ranked(each, value(nowNanos, each)))
+        .min(Comparator.comparingDouble(Ranked::value))
+        .map(Ranked::target);
+  }
+
+  private record Ranked(PlacedTarget target, double value) {}
+
+  private double value(long nowNanos, PlacedTarget target) {
+    double jitter = 1 + JITTER * random.nextDouble();
+    boolean near = target.record().getDataCentre().equals(context.dataCentre());
+    return score(nowNanos, target).value() * jitter * (near ? 1 : REMOTE_FACTOR);
+  }
+
+  private TargetScore score(long nowNanos, PlacedTarget target) {
+    return new TargetScore(
+        target.outstanding(nowNanos, averageOthers),
+        target.slots(),
+        target.slowness(nowNanos, averageSlowness),
+        target.trust().failureShare());
+  }
+
+  private boolean canAnswerInTime(long nowNanos, DispatchRequest request, PlacedTarget target) {
+    double usual = usualNanos.getOrDefault(request.route(), 0.0);
+    double predicted = usual * score(nowNanos, target).predictedTime();
+    return predicted <= request.deadlineNanos() - nowNanos;
+  }
+
+  /** Takes in the end of an attempt. */
+  void complete(long nowNanos, DispatchRequest request, Completion completion) {
+    find(completion.target())
+        .ifPresent(
+            target -> {
+              note(nowNanos, request, target, completion);
+              target.end(
+                  nowNanos, completion, terms.getColdStartMs() * NANOS_PER_MS, coldIntervalNanos());
+            });
+  }
+
+  private void note(
+      long nowNanos, DispatchRequest request, PlacedTarget target, Completion completion) {
+    completion
+        .report()
+        .ifPresent(
+            report -> {
+              double slowness = report.slownessPercent() / 100.0;
+              averageSlowness += AVERAGE_WEIGHT * (Math.max(1, slowness) - averageSlowness);
+              double others =
+                  Math.max(0, report.inFlight() + report.queued() - target.inFlight() + 1);
+              averageOthers += AVERAGE_WEIGHT * (others - averageOthers);
+            });
+    if (completion.outcome() == Outcome.SUCCESS) {
+      double slowness = target.slowness(nowNanos, averageSlowness);
+      double usual = completion.headLatencyNanos() / Math.max(1, slowness);
+      usualNanos.merge(
+          request.route(), usual, (before, now) -> before + AVERAGE_WEIGHT * (now - before));
+    }
+  }
+
+  /** Returns the number of targets that take requests. */
+  long readyTargets() {
+    return targets.values().stream().filter(PlacedTarget::isReady).count();
+  }
+
+  /** Returns the longest time that a connection to a target may take to be opened. */
+  static long connectTimeoutNanos() {
+    return TimeUnit.MILLISECONDS.toNanos(300);
+  }
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/Observation.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/Observation.java
@@ -47,7 +47,8 @@
     return switch (outcome) {
       case SUCCESS -> Verdict.SUCCESS;
       case FAILURE, REFUSED_OVERLOADED, CONNECTION_LOST, TIMED_OUT -> Verdict.FAILURE;
-      case REFUSED_COLD, REFUSED_DRAINING, CONNECT_FAILED, CANCELLED -> Verdict.NONE;
+      case REFUSED_COLD, REFUSED_DRAINING, REFUSED_WRONG_TARGET, CONNECT_FAILED, CANCELLED ->
+          Verdict.NONE;
     };
   }
 
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/PackageArrowsTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/PackageArrowsTest.java
@@ -47,7 +47,7 @@
             "org.waxwingbeam.caller",
             "org.waxwingbeam.target",
             "org.waxwingbeam.target.version",
-            "org.waxwingbeam.platform",
+            "org.waxwingbeam.readiness",
             "org.waxwingbeam.operator",
             "org.waxwingbeam.peer",
             "org.waxwingbeam.replica",
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/EntryDispatcherTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/EntryDispatcherTest.java
@@ -162,6 +162,7 @@
         5,
         64,
         1_000_000_000L,
+        1_000_000_000L,
         Set.of());
   }
 
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/WaitingQueueTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/WaitingQueueTest.java
@@ -71,6 +71,7 @@
             shedRank,
             64,
             1_000,
+            1_000,
             Set.of());
     return new Attempt(request, Optional.empty(), null);
   }
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/EntryFixture.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/EntryFixture.java
@@ -85,6 +85,7 @@
             new DispatchGate(dispatcher, System::nanoTime),
             connections,
             new ClassifierCache(applied),
+            ExchangeContext.Protocols.NATIVE,
             () -> Optional.of(ErrorKind.SHUTTING_DOWN).filter(kind -> stopping.get()),
             limit -> limit,
             new RetryBudgets(),
@@ -94,7 +95,7 @@
             shared.poison(),
             new EntryMetrics(registry),
             System::nanoTime);
-    server = new CallerServer(group, new Endpoint("127.0.0.1", 0), limits, context);
+    server = new CallerServer(group, new Endpoint("127.0.0.1", 0), () -> limits, context);
   }
 
   /** Starts an entry instance of its own with ordinary limits. */
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/FakeEntry.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/FakeEntry.java
@@ -97,6 +97,7 @@
             SHED_RANK,
             queueLimit,
             exchange.arrived + DEADLINE_NANOS,
+            exchange.arrived + DEADLINE_NANOS,
             Set.copyOf(exchange.tried));
     apply(dispatcher.request(loop.now(), request));
   }
@@ -168,7 +169,12 @@
 
   private static boolean isRefusal(Outcome outcome) {
     return switch (outcome) {
-      case REFUSED_OVERLOADED, REFUSED_COLD, REFUSED_DRAINING, CONNECT_FAILED -> true;
+      case REFUSED_OVERLOADED,
+          REFUSED_COLD,
+          REFUSED_DRAINING,
+          REFUSED_WRONG_TARGET,
+          CONNECT_FAILED ->
+          true;
       case SUCCESS, FAILURE, CONNECTION_LOST, TIMED_OUT, CANCELLED -> false;
     };
   }
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/sessions/SessionRequest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/sessions/SessionRequest.java
@@ -126,6 +126,7 @@
             (int) terms.value(Parameter.SHED_RANK),
             (int) terms.value(Parameter.QUEUE_LIMIT),
             deadline,
+            deadline,
             Set.copyOf(used));
     decided(entry.dispatcher().request(world.clock().nowNanos(), request));
   }
@@ -201,9 +202,17 @@
   private void failed(RetryReason reason) {
     AttemptFailure failure = AttemptFailure.of(reason);
     var progress =
-        new RetryPolicy.RequestProgress(terms.idempotent(), attempts, false, true, false);
+        new RetryPolicy.RequestProgress(
+            terms.idempotent(),
+            attempts,
+            (int) terms.value(Parameter.MAX_ATTEMPTS),
+            false,
+            true,
+            false);
     boolean poisoned = entry.poison().isPoison(world.clock().nowNanos(), fingerprint().whole());
-    if (!poisoned && RetryPolicy.mayRetry(failure, progress) && entry.budget().spend()) {
+    if (!poisoned
+        && RetryPolicy.mayRetry(failure, progress)
+        && entry.budget().spend(world.clock().nowNanos())) {
       world.print("entry %s retries %s: %s".formatted(entry.name(), caller, reason.code()));
       send();
       return;
