--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/StopSignals.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/StopSignals.java
@@ -18,6 +18,7 @@
  */
 public final class StopSignals {
   private static final List<String> NAMES = List.of("TERM", "INT");
+  private static final String HANG_UP = "HUP";
 
   private StopSignals() {}
 
@@ -30,7 +31,22 @@
    */
   public static void install(Runnable first, Runnable further) throws ReflectiveOperationException {
     AtomicBoolean told = new AtomicBoolean();
-    Runnable onSignal = () -> (told.compareAndSet(false, true) ? first : further).run();
+    handle(NAMES, () -> (told.compareAndSet(false, true) ? first : further).run());
+  }
+
+  /**
+   * Begins to receive the signal that says that the settings have changed. Without this, the
+   * virtual machine ends at that signal.
+   *
+   * @param reload run at each signal
+   * @throws ReflectiveOperationException if the virtual machine offers no signals
+   */
+  public static void onHangUp(Runnable reload) throws ReflectiveOperationException {
+    handle(List.of(HANG_UP), reload);
+  }
+
+  private static void handle(List<String> names, Runnable onSignal)
+      throws ReflectiveOperationException {
     // The class is reached by name, because the compiler warns of any direct use.
     Class<?> signal = Class.forName("sun.misc.Signal");
     Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -43,7 +59,7 @@
         };
     Object proxy =
         Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler}, receiver);
-    for (String name : NAMES) {
+    for (String name : names) {
       Object each = signal.getConstructor(String.class).newInstance(name);
       signal.getMethod("handle", signal, handler).invoke(null, each, proxy);
     }
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
@@ -263,7 +263,7 @@
       case CRASH -> feed.relay(entry, ControlFrame.newBuilder().setCrash(frame.getCrash()).build());
       case LOADS -> feed.relay(entry, ControlFrame.newBuilder().setLoads(frame.getLoads()).build());
       case EVIDENCE -> moves.observe(frame.getEvidence());
-      case GREETING, PULSE, KIND_NOT_SET -> {}
+      default -> {}
     }
   }
 
@@ -285,6 +285,11 @@
     }
   }
 
+  /** Adds addresses of control replicas that the settings name. */
+  public void addSeeds(List<Endpoint> seeds) {
+    host.addAddresses(seeds);
+  }
+
   @Override
   public void close() {
     feed.close();
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -273,7 +273,7 @@
             + IDLE_MARGIN_MS);
   }
 
-  private void apply(TargetRecord record) {
+  private void applyTarget(TargetRecord record) {
     long now = System.nanoTime();
     if (directory.merge(now, record) == TargetDirectory.Merge.CHANGED) {
       directory.find(now, record.getId()).ifPresent(each -> dispatcher.update(now, each));
@@ -302,9 +302,9 @@
     public void receive(ControlFrame frame) {
       switch (frame.getKindCase()) {
         case ROUTING -> apply(frame.getRouting());
-        case TARGET -> apply(frame.getTarget());
+        case TARGET -> applyTarget(frame.getTarget());
         case CRASH -> poison.merge(System.nanoTime(), CrashSightings.decode(frame.getCrash()));
-        case LOADS, PULSE, KIND_NOT_SET -> {}
+        default -> {}
       }
     }
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/MembershipKeeper.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/MembershipKeeper.java
@@ -136,7 +136,7 @@
     if (replaced.isPresent()) {
       replace(nowNanos, replaced.get(), learner);
     } else if (membership.getVotersCount() < wantedVoters) {
-      replacement.promote(nowNanos, learner.getId());
+      replacement.addVoter(nowNanos, learner.getId());
     } else {
       membership.getVotersList().stream()
           .filter(each -> !each.getId().equals(replica.id()) && isDead(nowNanos, each))
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaReplacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaReplacement.java
@@ -87,7 +87,7 @@
    * @param nowNanos the present time
    * @param learnerId the learner
    */
-  public void promote(long nowNanos, String learnerId) {
+  public void addVoter(long nowNanos, String learnerId) {
     change(nowNanos, MembershipChange.promoted(replica.membership(), learnerId));
   }
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaHost.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaHost.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -41,6 +42,7 @@
   private final Settings settings;
   private final Listener listener;
   private final ReplicaLinks links;
+  private final Set<Endpoint> added = new HashSet<>();
   private boolean flushScheduled;
   private boolean wasFresh = true;
   private long leasedTerm;
@@ -116,6 +118,11 @@
             group, settings.replicas(), settings.token(), this::hello, known::heard, this::receive);
   }
 
+  /** Adds addresses at which other replicas may be; must be called on the event loop. */
+  public void addAddresses(List<Endpoint> addresses) {
+    added.addAll(addresses);
+  }
+
   /** Begins to work. */
   public void start() {
     loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
@@ -182,7 +189,8 @@
                 replica.membership().getLearnersList().stream())
             .map(KnownReplicas::address);
     Endpoint own = KnownReplicas.address(member());
-    return Stream.concat(settings.initial().stream(), members)
+    return Stream.of(settings.initial().stream(), added.stream(), members)
+        .flatMap(each -> each)
         .filter(each -> !each.equals(own) && each.port() > 0)
         .collect(Collectors.toSet());
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/TargetTrust.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/TargetTrust.java
@@ -53,7 +53,9 @@
           pause(nowNanos);
         }
       }
-      case REFUSED_OVERLOADED, REFUSED_COLD, REFUSED_DRAINING, REFUSED_WRONG_TARGET, CANCELLED -> {}
+      default -> {
+        // A refusal or a caller that has left says nothing of the target.
+      }
     }
   }
 
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/PackageArrowsTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/PackageArrowsTest.java
@@ -46,6 +46,7 @@
             "org.waxwingbeam.model",
             "org.waxwingbeam.caller",
             "org.waxwingbeam.target",
+            "org.waxwingbeam.target.placement",
             "org.waxwingbeam.target.version",
             "org.waxwingbeam.readiness",
             "org.waxwingbeam.operator",
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/sessions/SessionRequest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/sessions/SessionRequest.java
@@ -184,6 +184,7 @@
       case REFUSED_OVERLOADED -> RetryReason.REFUSED_OVERLOADED;
       case REFUSED_COLD -> RetryReason.REFUSED_COLD;
       case REFUSED_DRAINING -> RetryReason.REFUSED_DRAINING;
+      case REFUSED_WRONG_TARGET -> RetryReason.REFUSED_WRONG_TARGET;
       case CONNECT_FAILED -> RetryReason.CONNECT_FAILED;
       case CONNECTION_LOST -> RetryReason.CONNECTION_LOST;
       case SUCCESS, FAILURE, TIMED_OUT, CANCELLED ->
