Entry instances tell each other what targets report, as datagrams

Each report and each request begun goes to 16 other entries at most, so the cost does not grow with the fleet.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
@@ -261,7 +261,6 @@
   private void receive(String entry, EntryFrame frame) {
     switch (frame.getKindCase()) {
       case CRASH -> feed.relay(entry, ControlFrame.newBuilder().setCrash(frame.getCrash()).build());
-      case LOADS -> feed.relay(entry, ControlFrame.newBuilder().setLoads(frame.getLoads()).build());
       case EVIDENCE -> moves.observe(frame.getEvidence());
       default -> {}
     }
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -20,8 +20,11 @@
 import org.waxwingbeam.model.DataCentreName;
 import org.waxwingbeam.model.ErrorKind;
 import org.waxwingbeam.model.InstanceName;
+import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.peer.net.LoadExchange;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.settings.EntrySettings;
+import org.waxwingbeam.target.LoadReport;
 import org.waxwingbeam.target.TargetDirectory;
 import org.waxwingbeam.target.net.TargetConnections;
 import org.waxwingbeam.target.placement.PlacementContext;
@@ -30,6 +33,8 @@
 import org.waxwingbeam.wire.feed.ControlFrame;
 import org.waxwingbeam.wire.feed.EntryFrame;
 import org.waxwingbeam.wire.feed.EntryGreeting;
+import org.waxwingbeam.wire.feed.LoadBatch;
+import org.waxwingbeam.wire.feed.TargetLoad;
 import org.waxwingbeam.wire.feed.TargetRecord;
 import org.waxwingbeam.wire.routing.CallerLimits;
 import org.waxwingbeam.wire.routing.RoutingState;
@@ -82,6 +87,7 @@
   private final SplittableRandom random = new SplittableRandom();
   private final PlacementDispatcher dispatcher;
   private final FeedClient feed;
+  private final LoadExchange loads;
   private final CallerServer callers;
   private RoutingState routing = RoutingState.getDefaultInstance();
   private RouteTable routes = new RouteTable();
@@ -94,6 +100,7 @@
    * @param instance its name
    * @param dataCentre where it is
    * @param callers where callers connect
+   * @param loads where other entry instances send load reports
    * @param replicas where the first control replicas take entry instances
    * @param retries the retry budget of each service for the whole fleet
    */
@@ -101,6 +108,7 @@
       InstanceName instance,
       DataCentreName dataCentre,
       Endpoint callers,
+      Endpoint loads,
       List<Endpoint> replicas,
       WindowBudget.Terms retries) {
     /** Copies the list. */
@@ -117,13 +125,19 @@
     dispatcher =
         new PlacementDispatcher(
             new PlacementContext(
-                settings.dataCentre().value(), this::fleetSize, random, new VersionStops()));
+                settings.dataCentre().value(),
+                this::fleetSize,
+                random,
+                new LoadNews(),
+                new VersionStops()));
     EntryGreeting greeting =
         EntryGreeting.newBuilder()
             .setName(settings.instance().value())
             .setDataCentre(settings.dataCentre().value())
             .setBootId(bootId)
+            .setLoadsAddress(settings.loads().toString())
             .build();
+    loads = LoadExchange.start(group, settings.loads(), this::receive);
     feed = new FeedClient(group.next(), greeting, settings.replicas(), new FeedListener());
     ExchangeContext context =
         new ExchangeContext(
@@ -238,6 +252,7 @@
   public void close() {
     callers.close();
     feed.close();
+    loads.close();
   }
 
   private void apply(RoutingState state) {
@@ -296,6 +311,53 @@
     }
   }
 
+  private void receive(LoadBatch batch) {
+    long now = System.nanoTime();
+    batch
+        .getLoadsList()
+        .forEach(
+            each -> {
+              TargetId target = new TargetId(each.getHost(), each.getPort());
+              if (each.getSlots() > 0) {
+                dispatcher.noteReport(now, target, LoadNews.report(each));
+              }
+              if (each.getBegun() > 0) {
+                dispatcher.noteBegun(now, target, each.getBegun());
+              }
+            });
+  }
+
+  /** Tells other entry instances what this one learns of targets' load. */
+  private final class LoadNews implements PlacementContext.LoadListener {
+    static LoadReport report(TargetLoad load) {
+      return new LoadReport(
+          load.getRunning(), load.getWaiting(), load.getSlots(), load.getSlownessPercent());
+    }
+
+    @Override
+    public void begun(TargetId target) {
+      loads.send(
+          TargetLoad.newBuilder()
+              .setHost(target.host())
+              .setPort(target.port())
+              .setBegun(1)
+              .build());
+    }
+
+    @Override
+    public void reported(TargetId target, LoadReport report) {
+      loads.send(
+          TargetLoad.newBuilder()
+              .setHost(target.host())
+              .setPort(target.port())
+              .setRunning(report.inFlight())
+              .setWaiting(report.queued())
+              .setSlots(report.slots())
+              .setSlownessPercent(report.slownessPercent())
+              .build());
+    }
+  }
+
   /** Takes what control replicas tell. */
   private final class FeedListener implements FeedClient.Listener {
     @Override
@@ -303,6 +365,7 @@
       switch (frame.getKindCase()) {
         case ROUTING -> apply(frame.getRouting());
         case TARGET -> applyTarget(frame.getTarget());
+        case LOAD_PEERS -> loads.sendTo(frame.getLoadPeers().getAddressesList());
         case CRASH -> poison.merge(System.nanoTime(), CrashSightings.decode(frame.getCrash()));
         default -> {}
       }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedServer.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedServer.java
@@ -16,12 +16,14 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import org.waxwingbeam.logging.EventLog;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.wire.feed.ControlFrame;
 import org.waxwingbeam.wire.feed.ControlPulse;
 import org.waxwingbeam.wire.feed.EntryFrame;
 import org.waxwingbeam.wire.feed.EntryGreeting;
+import org.waxwingbeam.wire.feed.LoadPeers;
 import org.waxwingbeam.wire.feed.TargetRecord;
 import org.waxwingbeam.wire.routing.RoutingState;
 
@@ -44,6 +46,10 @@
   private static final long PULSE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   private static final long SILENCE_NANOS = 4 * PULSE_NANOS;
+
+  /** Entry instances to which each load report goes, so that its cost does not grow with the fleet. */
+  private static final int MAX_LOAD_PEERS = 16;
+
   private static final EventLog LOG = new EventLog(FeedServer.class);
 
   private final Source source;
@@ -126,6 +132,24 @@
         .forEach(each -> each.send(frame));
   }
 
+  /** Tells each entry instance to which others it sends load reports. */
+  private void publishLoadPeers() {
+    List<String> all =
+        sessions.stream().map(each -> each.loadsAddress).filter(each -> !each.isEmpty()).toList();
+    sessions.forEach(each -> each.send(ControlFrame.newBuilder().setLoadPeers(peersOf(each, all)).build()));
+  }
+
+  /** Returns the entry instances that follow one in the order of arrival, around the end. */
+  private static LoadPeers peersOf(Session session, List<String> all) {
+    int own = all.indexOf(session.loadsAddress);
+    return LoadPeers.newBuilder()
+        .addAllAddresses(
+            IntStream.rangeClosed(1, Math.min(MAX_LOAD_PEERS, all.size() - 1))
+                .mapToObj(step -> all.get((own + step) % all.size()))
+                .toList())
+        .build();
+  }
+
   private void sendToAll(ControlFrame frame) {
     sessions.forEach(each -> each.send(frame));
   }
@@ -195,12 +219,14 @@
   private static final class Session {
     private final Channel channel;
     private final String name;
+    private final String loadsAddress;
     private long applied;
     private long heardNanos = System.nanoTime();
 
     Session(Channel channel, EntryGreeting greeting) {
       this.channel = channel;
       name = greeting.getName();
+      loadsAddress = greeting.getLoadsAddress();
     }
 
     void send(ControlFrame frame) {
@@ -268,12 +294,14 @@
           .targets()
           .forEach(each -> session.send(ControlFrame.newBuilder().setTarget(each).build()));
       session.send(pulse());
+      publishLoadPeers();
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
       if (session != null && sessions.remove(session)) {
         LOG.info("entry-lost", "entry", session.name, "entries", sessions.size());
+        publishLoadPeers();
         settle(System.nanoTime());
       }
     }
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/peer/net/LoadExchange.java
@@ -0,0 +1,131 @@
+package org.waxwingbeam.peer.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.waxwingbeam.logging.EventLog;
+import org.waxwingbeam.settings.Endpoint;
+import org.waxwingbeam.wire.feed.LoadBatch;
+import org.waxwingbeam.wire.feed.TargetLoad;
+
+/**
+ * Exchanges load reports of targets between entry instances, as datagrams. What is lost is not
+ * repeated: the next report says more.
+ *
+ * <p>All methods but {@link #start} are called on its event loop.
+ *
+ * <pre>{@code
+ * LoadExchange loads = LoadExchange.start(group, endpoint, batch -> learn(batch));
+ * loads.sendTo(List.of("10.0.0.4:7200"));
+ * loads.send(load);
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+// A datagram that cannot be sent is lost like any other.
+@SuppressWarnings("FutureReturnValueIgnored")
+public final class LoadExchange implements AutoCloseable {
+  private static final EventLog LOG = new EventLog(LoadExchange.class);
+
+  /** Time for which reports are gathered into one datagram. */
+  private static final long GATHER_MS = 2;
+
+  /** Reports that fit into one datagram of an ordinary network. */
+  private static final int MAX_LOADS = 30;
+
+  private final Channel channel;
+  private List<InetSocketAddress> peers = List.of();
+  private LoadBatch.Builder gathered = LoadBatch.newBuilder();
+
+  private LoadExchange(Channel channel) {
+    this.channel = channel;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param group its one event loop runs everything
+   * @param endpoint where datagrams arrive
+   * @param receiver takes what other entry instances report
+   */
+  public static LoadExchange start(
+      EventLoopGroup group, Endpoint endpoint, Consumer<LoadBatch> receiver) {
+    Channel channel =
+        new Bootstrap()
+            .group(group)
+            .channel(NioDatagramChannel.class)
+            .handler(new Handler(receiver))
+            .bind(endpoint.socketAddress())
+            .syncUninterruptibly()
+            .channel();
+    return new LoadExchange(channel);
+  }
+
+  /** Replaces the entry instances to which reports are sent, as host:port. */
+  public void sendTo(List<String> addresses) {
+    peers = addresses.stream().map(LoadExchange::address).toList();
+  }
+
+  private static InetSocketAddress address(String text) {
+    int colon = text.lastIndexOf(':');
+    return new InetSocketAddress(
+        text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+  }
+
+  /** Sends a report to the peers, together with others of the same moment. */
+  public void send(TargetLoad load) {
+    if (peers.isEmpty() || gathered.getLoadsCount() >= MAX_LOADS) {
+      return;
+    }
+    if (gathered.getLoadsCount() == 0) {
+      channel.eventLoop().schedule(this::flush, GATHER_MS, TimeUnit.MILLISECONDS);
+    }
+    gathered.addLoads(load);
+  }
+
+  private void flush() {
+    byte[] bytes = gathered.build().toByteArray();
+    gathered = LoadBatch.newBuilder();
+    peers.forEach(
+        each -> channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), each)));
+    channel.flush();
+  }
+
+  @Override
+  public void close() {
+    channel.close().syncUninterruptibly();
+  }
+
+  private static final class Handler extends SimpleChannelInboundHandler<DatagramPacket> {
+    private final Consumer<LoadBatch> receiver;
+
+    Handler(Consumer<LoadBatch> receiver) {
+      this.receiver = receiver;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+      try {
+        receiver.accept(LoadBatch.parseFrom(new ByteBufInputStream(packet.content())));
+      } catch (IOException | IllegalArgumentException malformed) {
+        LOG.debug("loads-malformed", "from", packet.sender(), "reason", malformed.getMessage());
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      LOG.debug("loads-not-exchanged", "reason", cause);
+    }
+  }
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/LoadEstimate.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/LoadEstimate.java
@@ -20,6 +20,8 @@
   private boolean reported;
   private double others;
   private double slowness = 1;
+  private double begun;
+  private long begunNanos;
 
   /**
    * Takes in a report.
@@ -34,14 +36,21 @@
     }
     reported = true;
     reportNanos = nowNanos;
+    begun = 0;
     others = Math.max(0, report.inFlight() + report.queued() - ownInFlight);
     slowness = Math.max(1, report.slownessPercent() / USUAL);
   }
 
+  /** Takes in that others have begun requests there since the newest report. */
+  void noteBegun(long nowNanos, int requests) {
+    begun = begun * begunWeight(nowNanos) + requests;
+    begunNanos = nowNanos;
+  }
+
   /** Returns the requests of other entry instances that are probably at the target. */
   double others(long nowNanos, double average) {
     double weight = weight(nowNanos, LOAD_MEMORY_NANOS);
-    return others * weight + average * (1 - weight);
+    return others * weight + average * (1 - weight) + begun * begunWeight(nowNanos);
   }
 
   /** Returns how many times as long as usual work probably takes. */
@@ -50,6 +59,10 @@
     return slowness * weight + average * (1 - weight);
   }
 
+  private double begunWeight(long nowNanos) {
+    return begun == 0 ? 0 : Math.exp(-Math.max(0, nowNanos - begunNanos) / LOAD_MEMORY_NANOS);
+  }
+
   private double weight(long nowNanos, double memoryNanos) {
     return reported ? Math.exp(-Math.max(0, nowNanos - reportNanos) / memoryNanos) : 0;
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacedTarget.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacedTarget.java
@@ -117,6 +117,11 @@
     load.note(reportNanos, report, inFlight);
   }
 
+  /** Takes in that another entry instance has begun requests at the target. */
+  void noteBegun(long nowNanos, int requests) {
+    load.noteBegun(nowNanos, requests);
+  }
+
   int slots() {
     return Math.max(1, record.getSlots());
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementContext.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementContext.java
@@ -2,6 +2,8 @@
 
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
+import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.target.LoadReport;
 
 /**
  * Holds what the placement of every service uses.
@@ -9,8 +11,22 @@
  * @param dataCentre the data centre of this entry instance
  * @param fleetSize returns the number of entry instances
  * @param random spreads choices
+ * @param loads hears what this entry instance learns of targets' load
  * @param stops the versions that this entry instance has stopped by itself
  * @since 0.1.0
  */
 public record PlacementContext(
-    String dataCentre, IntSupplier fleetSize, RandomGenerator random, VersionStops stops) {}
+    String dataCentre,
+    IntSupplier fleetSize,
+    RandomGenerator random,
+    LoadListener loads,
+    VersionStops stops) {
+  /** Hears what an entry instance learns of targets' load, to tell others. */
+  public interface LoadListener {
+    /** A request was sent to a target. */
+    void begun(TargetId target);
+
+    /** A target has reported its load. */
+    void reported(TargetId target, LoadReport report);
+  }
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementDispatcher.java
@@ -77,6 +77,15 @@
     services.values().forEach(each -> each.noteReport(reportNanos, target, report));
   }
 
+  /**
+   * Takes in that another entry instance has begun requests at a target.
+   *
+   * @param nowNanos the present time
+   */
+  public void noteBegun(long nowNanos, TargetId target, int requests) {
+    services.values().forEach(each -> each.noteBegun(nowNanos, target, requests));
+  }
+
   private ServicePlacement service(String name) {
     return services.computeIfAbsent(
         name,
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
@@ -103,6 +103,10 @@
     find(target).ifPresent(each -> each.noteReport(reportNanos, report));
   }
 
+  void noteBegun(long nowNanos, TargetId target, int requests) {
+    find(target).ifPresent(each -> each.noteBegun(nowNanos, requests));
+  }
+
   private Optional<PlacedTarget> find(TargetId id) {
     return targets.values().stream().filter(each -> each.id().equals(id)).findFirst();
   }
@@ -130,6 +134,7 @@
     }
     PlacedTarget target = chosen.get();
     target.begin(nowNanos, coldIntervalNanos());
+    context.loads().begun(target.id());
     return new Decision.Assigned(
         request.attemptId(), target.id(), target.version(), Optional.of(target.record().getId()));
   }
@@ -194,6 +199,9 @@
         .ifPresent(
             target -> {
               note(nowNanos, request, target, completion);
+              completion
+                  .report()
+                  .ifPresent(report -> context.loads().reported(target.id(), report));
               target.end(
                   nowNanos, completion, terms.getColdStartMs() * NANOS_PER_MS, coldIntervalNanos());
             });
