--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedServer.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedServer.java
@@ -47,7 +47,9 @@
 
   private static final long SILENCE_NANOS = 4 * PULSE_NANOS;
 
-  /** Entry instances to which each load report goes, so that its cost does not grow with the fleet. */
+  /**
+   * Entry instances to which each load report goes, so that its cost does not grow with the fleet.
+   */
   private static final int MAX_LOAD_PEERS = 16;
 
   private static final EventLog LOG = new EventLog(FeedServer.class);
@@ -136,7 +138,8 @@
   private void publishLoadPeers() {
     List<String> all =
         sessions.stream().map(each -> each.loadsAddress).filter(each -> !each.isEmpty()).toList();
-    sessions.forEach(each -> each.send(ControlFrame.newBuilder().setLoadPeers(peersOf(each, all)).build()));
+    sessions.forEach(
+        each -> each.send(ControlFrame.newBuilder().setLoadPeers(peersOf(each, all)).build()));
   }
 
   /** Returns the entry instances that follow one in the order of arrival, around the end. */
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/peer/net/LoadExchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/peer/net/LoadExchange.java
@@ -97,8 +97,7 @@
   private void flush() {
     byte[] bytes = gathered.build().toByteArray();
     gathered = LoadBatch.newBuilder();
-    peers.forEach(
-        each -> channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), each)));
+    peers.forEach(each -> channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), each)));
     channel.flush();
   }
 
