A line for each request that failed, was late or was repeated; evidence of version moves; tests

Entries count failures and slow answers of the two versions of a move and tell them to the replica that leads, which rolls back on a clear difference (MoveCourse).

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
@@ -21,6 +21,7 @@
 import org.waxwingbeam.caller.net.DispatchGate;
 import org.waxwingbeam.caller.net.ExchangeContext;
 import org.waxwingbeam.caller.net.RequestIds;
+import org.waxwingbeam.caller.net.RequestLog;
 import org.waxwingbeam.caller.net.RetryBudgets;
 import org.waxwingbeam.control.AppliedConfiguration;
 import org.waxwingbeam.control.EntryView;
@@ -227,6 +228,7 @@
         settings.instance(),
         new ControlClaimClient(control, group.next()),
         poison,
+        new RequestLog(),
         new EntryMetrics(metrics),
         System::nanoTime);
   }
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -13,6 +13,7 @@
 import org.waxwingbeam.caller.net.DispatchGate;
 import org.waxwingbeam.caller.net.ExchangeContext;
 import org.waxwingbeam.caller.net.RequestIds;
+import org.waxwingbeam.caller.net.RequestLog;
 import org.waxwingbeam.caller.net.RetryBudgets;
 import org.waxwingbeam.control.net.FeedClient;
 import org.waxwingbeam.logging.EventLog;
@@ -152,6 +153,7 @@
             settings.instance(),
             new NoClaims(),
             poison,
+            new RequestLog(),
             new EntryMetrics(metrics),
             System::nanoTime);
     callers = new CallerServer(group, settings.callers(), () -> limits, context);
@@ -184,6 +186,9 @@
   private void tick() {
     long now = System.nanoTime();
     feed.tick(now);
+    dispatcher
+        .takeEvidence()
+        .forEach(each -> feed.sendToAll(EntryFrame.newBuilder().setEvidence(each).build()));
     poison
         .takeChanges(now)
         .forEach(
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Attempt.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Attempt.java
@@ -62,6 +62,7 @@
 
   private TargetId target;
   private Optional<String> instance = Optional.empty();
+  private Optional<Decision.Basis> basis = Optional.empty();
   private Optional<HeldAnswer> held = Optional.empty();
   private TargetConnection connection;
   private Optional<LoadReport> report = Optional.empty();
@@ -83,6 +84,7 @@
     this.listener = listener;
     this.request = request;
     this.connectionLimit = connectionLimit;
+    sentNanos = context.clock().getAsLong();
     this.loop = loop;
   }
 
@@ -106,6 +108,7 @@
   private void onAssigned(Decision.Assigned assigned) {
     target = assigned.target();
     instance = assigned.instance();
+    basis = assigned.basis();
     sentNanos = context.clock().getAsLong();
     if (ended) {
       report(Outcome.CANCELLED);
@@ -180,6 +183,11 @@
     return instance;
   }
 
+  /** Returns what the choice of the target was based on, if it was based on reports. */
+  Optional<Decision.Basis> basis() {
+    return basis;
+  }
+
   /** Begins to keep the answer instead of passing it on. */
   void hold(HeldAnswer answer) {
     held = Optional.of(answer);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import org.waxwingbeam.caller.AttemptFailure;
@@ -32,6 +33,9 @@
  * or one error, on to the caller. All methods run on the caller's event loop.
  */
 final class Exchange implements Attempt.Listener, AutoCloseable {
+  /** The result of a request whose answer was passed on whole. */
+  static final String ANSWERED = "answered";
+
   private static final long NANOS_PER_MS = 1_000_000;
 
   private final ExchangeContext context;
@@ -43,6 +47,7 @@
   private final String requestId;
   private final RequestBody body = new RequestBody();
   private final List<Attempt> active = new ArrayList<>(2);
+  private final List<RequestLog.AttemptNote> notes = new ArrayList<>(2);
   private final Set<TargetId> used = new HashSet<>(2);
   private final ExchangeLimits limits;
   private final Optional<KeyClaim> claim;
@@ -119,7 +124,7 @@
   }
 
   private void replay(RecordedAnswer recorded) {
-    finish();
+    finish("replayed");
     caller.answerRecorded(recorded);
   }
 
@@ -211,7 +216,7 @@
     if (claim.isEmpty() || !sent) {
       cancelAll(Outcome.CANCELLED);
       settle(ClaimSettlement.Result.DID_NOT_RUN);
-      finish();
+      finish("caller-gone");
     }
   }
 
@@ -259,6 +264,7 @@
 
   @Override
   public void onNoTarget(Attempt attempt, Decision.Refused refused) {
+    note(attempt, refused.kind().code());
     active.remove(attempt);
     if (active.isEmpty()) {
       answer(refused.kind(), refused.retryAfterMs());
@@ -358,7 +364,8 @@
     context.budgets().of(terms.service()).onSuccess(terms.value(Parameter.RETRY_BUDGET));
     settle(ClaimSettlement.Result.RAN);
     poison.onAnswered();
-    finish();
+    note(attempt, ANSWERED);
+    finish(ANSWERED);
     caller.onAnswered();
   }
 
@@ -366,6 +373,7 @@
   private void onFailedAnswer(Attempt attempt) {
     active.remove(attempt);
     attempt.target().ifPresent(used::add);
+    note(attempt, "target-failed");
     poison.onAnswered();
     HeldAnswer held = attempt.takeHeld();
     held.delimit(true);
@@ -385,7 +393,7 @@
     caller.writeHead(failed.head());
     failed.drainTo(caller::write);
     settle(ClaimSettlement.Result.RAN);
-    finish();
+    finish("target-failure");
     caller.onAnswered();
   }
 
@@ -393,6 +401,7 @@
   public void onFailed(Attempt attempt, AttemptFailure failure) {
     active.remove(attempt);
     attempt.target().ifPresent(used::add);
+    note(attempt, failure.reason().code());
     poison.onFailed(attempt, failure);
     if (attempt == answering) {
       cut();
@@ -458,14 +467,14 @@
         kind.run() == ErrorKind.Run.NO ? uncertain.map(AttemptFailure::kind).orElse(kind) : kind;
     boolean unrun = honest.run() == ErrorKind.Run.NO;
     settle(unrun ? ClaimSettlement.Result.DID_NOT_RUN : ClaimSettlement.Result.UNKNOWN);
-    finish();
+    finish(honest.code());
     caller.answerError(honest, retryAfterMs);
   }
 
   private void cut() {
     context.metrics().onCutAnswer();
     settle(ClaimSettlement.Result.UNKNOWN);
-    finish();
+    finish("cut");
     caller.cut();
   }
 
@@ -474,11 +483,35 @@
   }
 
   private void cancelAll(Outcome why) {
+    active.forEach(each -> note(each, "given-up-" + why.name().toLowerCase(Locale.ROOT)));
     active.forEach(each -> each.cancel(why));
     active.clear();
   }
 
-  private void finish() {
+  private void note(Attempt attempt, String result) {
+    long start = limits.startNanos();
+    notes.add(
+        new RequestLog.AttemptNote(
+            attempt.target(),
+            attempt.basis(),
+            (attempt.sentNanos() - start) / NANOS_PER_MS,
+            (context.clock().getAsLong() - start) / NANOS_PER_MS,
+            result));
+  }
+
+  private void finish(String result) {
+    long now = context.clock().getAsLong();
+    context
+        .requestLog()
+        .ended(
+            now,
+            new RequestLog.Ended(
+                requestId,
+                terms,
+                List.copyOf(notes),
+                result,
+                now - limits.startNanos(),
+                limits.headDeadlineNanos() - now));
     // Does nothing if the outcome has been reported.
     settle(ClaimSettlement.Result.UNKNOWN);
     ended = true;
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeContext.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeContext.java
@@ -28,6 +28,7 @@
  * @param instance the name of this entry instance
  * @param claims claims idempotency keys
  * @param poison finds requests that crash targets
+ * @param requestLog writes what became of requests
  * @param metrics counts refusals and retries
  * @param clock the entry's monotonic clock, in nanoseconds
  * @since 0.1.0
@@ -44,6 +45,7 @@
     InstanceName instance,
     ClaimClient claims,
     PoisonList poison,
+    RequestLog requestLog,
     EntryMetrics metrics,
     LongSupplier clock) {
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Decision.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Decision.java
@@ -21,12 +21,34 @@
    * @param target where to send the request
    * @param version the version that the target runs
    * @param instance the identity that the target has stated, if it states one
+   * @param basis what the choice was based on, if it was based on reports
    */
-  record Assigned(long attemptId, TargetId target, VersionName version, Optional<String> instance)
+  record Assigned(
+      long attemptId,
+      TargetId target,
+      VersionName version,
+      Optional<String> instance,
+      Optional<Basis> basis)
       implements Decision {
     /** Assigns a target that states no identity. */
     public Assigned(long attemptId, TargetId target, VersionName version) {
-      this(attemptId, target, version, Optional.empty());
+      this(attemptId, target, version, Optional.empty(), Optional.empty());
+    }
+  }
+
+  /**
+   * Says what the choice of a target was based on.
+   *
+   * @param outstanding requests that were probably at the target
+   * @param slowness how many times as long as usual work probably took there
+   * @param reportAgeMs age of its newest report in milliseconds; -1 if there is none
+   * @param candidates targets that could have been chosen
+   */
+  record Basis(double outstanding, double slowness, long reportAgeMs, int candidates) {
+    @Override
+    public String toString() {
+      return "outstanding=%.1f,slowness=%.1f,report_age_ms=%d,candidates=%d"
+          .formatted(outstanding, slowness, reportAgeMs, candidates);
     }
   }
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/LoadEstimate.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/LoadEstimate.java
@@ -1,5 +1,6 @@
 package org.waxwingbeam.target.placement;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.waxwingbeam.target.LoadReport;
 
@@ -59,6 +60,11 @@
     return slowness * weight + average * (1 - weight);
   }
 
+  /** Returns the age of the newest report. */
+  Optional<Long> reportAgeNanos(long nowNanos) {
+    return reported ? Optional.of(nowNanos - reportNanos) : Optional.empty();
+  }
+
   private double begunWeight(long nowNanos) {
     return begun == 0 ? 0 : Math.exp(-Math.max(0, nowNanos - begunNanos) / LOAD_MEMORY_NANOS);
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/MoveCourse.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/MoveCourse.java
@@ -15,8 +15,11 @@
   /** Share of the requests that an unproven version gets. */
   private static final int TRIAL_SHARE_PER_MILLE = 60;
 
-  /** Part of the time allowed after which a version that has proved good takes over. */
-  private static final double DECISION_PART = 0.8;
+  /**
+   * Time before the limit at which a version that has proved good takes over: enough to be
+   * committed, and so late that faults that begin late are seen before.
+   */
+  private static final long DECISION_LEAD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
   /** Pause between two proposals for the same move. */
   private static final long PROPOSAL_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
@@ -89,7 +92,7 @@
       return Optional.of(
           move.toBuilder().setState(ServiceMove.State.ROLLED_BACK).setSharePerMille(0).build());
     }
-    if (nowNanos - startNanos >= allowedNanos * DECISION_PART) {
+    if (nowNanos - startNanos >= allowedNanos - DECISION_LEAD_NANOS) {
       boolean proved = answersAfter > 0;
       return Optional.of(
           move.toBuilder()
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/MoveEvidence.java
@@ -0,0 +1,82 @@
+package org.waxwingbeam.target.placement;
+
+import java.util.Optional;
+import org.waxwingbeam.target.Completion;
+import org.waxwingbeam.target.Outcome;
+import org.waxwingbeam.wire.feed.VersionCounts;
+import org.waxwingbeam.wire.feed.VersionEvidence;
+import org.waxwingbeam.wire.routing.ServiceMove;
+
+/** Counts the answers of the two versions of a move, to be told to the replica that leads. */
+final class MoveEvidence {
+  /** How many times as long as usual an answer must take to count as slow. */
+  private static final double SLOW_FACTOR = 3.5;
+
+  /** The same for an attempt that was given up before it was answered. */
+  private static final double SLOW_FACTOR_GIVEN_UP = 2;
+
+  private VersionCounts.Builder before = VersionCounts.newBuilder();
+  private VersionCounts.Builder after = VersionCounts.newBuilder();
+  private long moveNumber;
+
+  /**
+   * Counts the end of an attempt.
+   *
+   * @param move the latest move of the service
+   * @param version the version that served the attempt
+   * @param completion how it ended
+   * @param usualNanos the time that an answer usually takes there now
+   */
+  void note(Optional<ServiceMove> move, String version, Completion completion, double usualNanos) {
+    if (move.isEmpty() || move.get().getState() != ServiceMove.State.RUNNING) {
+      return;
+    }
+    if (moveNumber != move.get().getNumber()) {
+      moveNumber = move.get().getNumber();
+      before = VersionCounts.newBuilder();
+      after = VersionCounts.newBuilder();
+    }
+    count(version.equals(move.get().getTo()) ? after : before, completion, usualNanos);
+  }
+
+  private static void count(VersionCounts.Builder counts, Completion completion, double usual) {
+    switch (completion.outcome()) {
+      case SUCCESS -> {
+        counts.setAnswers(counts.getAnswers() + 1);
+        if (completion.headLatencyNanos() > SLOW_FACTOR * usual) {
+          counts.setSlow(counts.getSlow() + 1);
+        }
+      }
+      case FAILURE, CONNECTION_LOST, TIMED_OUT -> {
+        counts.setAnswers(counts.getAnswers() + 1);
+        counts.setFailures(counts.getFailures() + 1);
+      }
+      default -> {
+        boolean slow =
+            completion.outcome() == Outcome.CANCELLED
+                && completion.headLatencyNanos() > SLOW_FACTOR_GIVEN_UP * usual;
+        if (slow) {
+          counts.setAnswers(counts.getAnswers() + 1);
+          counts.setSlow(counts.getSlow() + 1);
+        }
+      }
+    }
+  }
+
+  /** Returns what was counted since the last call, if anything was. */
+  Optional<VersionEvidence> take(Optional<ServiceMove> move) {
+    if (move.isEmpty() || before.getAnswers() + after.getAnswers() == 0) {
+      return Optional.empty();
+    }
+    VersionEvidence taken =
+        VersionEvidence.newBuilder()
+            .setService(move.get().getService())
+            .setMove(moveNumber)
+            .setBefore(before)
+            .setAfter(after)
+            .build();
+    before = VersionCounts.newBuilder();
+    after = VersionCounts.newBuilder();
+    return Optional.of(taken);
+  }
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacedTarget.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacedTarget.java
@@ -131,6 +131,11 @@
     return inFlight + load.others(nowNanos, averageOthers);
   }
 
+  /** Returns the age of the newest report in milliseconds, or -1 if there is none. */
+  long reportAgeMs(long nowNanos) {
+    return load.reportAgeNanos(nowNanos).map(each -> each / NANOS_PER_MS).orElse(-1L);
+  }
+
   /** Returns how many times as long as usual work probably takes at the target. */
   double slowness(long nowNanos, double average) {
     double reported = load.slowness(nowNanos, average);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementDispatcher.java
@@ -12,6 +12,7 @@
 import org.waxwingbeam.target.Dispatcher;
 import org.waxwingbeam.target.LoadReport;
 import org.waxwingbeam.wire.feed.TargetRecord;
+import org.waxwingbeam.wire.feed.VersionEvidence;
 import org.waxwingbeam.wire.routing.RoutingState;
 
 /**
@@ -126,6 +127,14 @@
     return List.of();
   }
 
+  /** Returns what was seen of the moves under way since the last call. */
+  public List<VersionEvidence> takeEvidence() {
+    return services.values().stream()
+        .map(ServicePlacement::takeEvidence)
+        .flatMap(Optional::stream)
+        .toList();
+  }
+
   /** Returns the number of targets of a service that take requests. */
   public long readyTargets(String service) {
     return services.containsKey(service) ? services.get(service).readyTargets() : 0;
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
@@ -19,6 +18,7 @@
 import org.waxwingbeam.target.LoadReport;
 import org.waxwingbeam.target.Outcome;
 import org.waxwingbeam.wire.feed.TargetRecord;
+import org.waxwingbeam.wire.feed.VersionEvidence;
 import org.waxwingbeam.wire.routing.RoutingState;
 import org.waxwingbeam.wire.routing.ServiceMove;
 import org.waxwingbeam.wire.routing.ServiceTerms;
@@ -48,6 +48,7 @@
   private final RandomGenerator random;
   private final VersionChoice versions;
   private final Map<String, PlacedTarget> targets = new HashMap<>();
+  private final MoveEvidence evidence = new MoveEvidence();
   private final Map<RouteName, Double> usualNanos = new HashMap<>();
   private ServiceTerms terms =
       ServiceTerms.newBuilder()
@@ -133,10 +134,20 @@
       return new Decision.Refused(request.attemptId(), ErrorKind.OVERLOADED, OVERLOADED_RETRY_MS);
     }
     PlacedTarget target = chosen.get();
+    Decision.Basis basis =
+        new Decision.Basis(
+            target.outstanding(nowNanos, averageOthers),
+            target.slowness(nowNanos, averageSlowness),
+            target.reportAgeMs(nowNanos),
+            open.size());
     target.begin(nowNanos, coldIntervalNanos());
     context.loads().begun(target.id());
     return new Decision.Assigned(
-        request.attemptId(), target.id(), target.version(), Optional.of(target.record().getId()));
+        request.attemptId(),
+        target.id(),
+        target.version(),
+        Optional.of(target.record().getId()),
+        Optional.of(basis));
   }
 
   /** Returns whether a version may serve what the chosen one cannot. */
@@ -219,6 +230,7 @@
                   Math.max(0, report.inFlight() + report.queued() - target.inFlight() + 1);
               averageOthers += AVERAGE_WEIGHT * (others - averageOthers);
             });
+    evidence.note(move, target.version().value(), completion, slowNanos(nowNanos, request, target));
     if (completion.outcome() == Outcome.SUCCESS) {
       double slowness = target.slowness(nowNanos, averageSlowness);
       double usual = completion.headLatencyNanos() / Math.max(1, slowness);
@@ -227,13 +239,19 @@
     }
   }
 
+  /** Returns the time from which an answer on a route counts as slow at a target. */
+  private double slowNanos(long nowNanos, DispatchRequest request, PlacedTarget target) {
+    double usual = usualNanos.getOrDefault(request.route(), Double.MAX_VALUE);
+    return usual * target.slowness(nowNanos, averageSlowness);
+  }
+
+  /** Returns what was seen of the move under way since the last call, if anything was. */
+  Optional<VersionEvidence> takeEvidence() {
+    return evidence.take(move);
+  }
+
   /** Returns the number of targets that take requests. */
   long readyTargets() {
     return targets.values().stream().filter(PlacedTarget::isReady).count();
   }
-
-  /** Returns the longest time that a connection to a target may take to be opened. */
-  static long connectTimeoutNanos() {
-    return TimeUnit.MILLISECONDS.toNanos(300);
-  }
 }
--- /dev/null
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/caller/WindowBudgetTest.java
@@ -0,0 +1,65 @@
+package org.waxwingbeam.caller;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class WindowBudgetTest {
+  private static final long WINDOW = TimeUnit.SECONDS.toNanos(10);
+  private static final WindowBudget.Terms TERMS = new WindowBudget.Terms(0.2, 60, WINDOW);
+
+  @Test
+  void fixedPartIsDividedAmongTheFleet() {
+    WindowBudget budget = new WindowBudget(TERMS, () -> 15);
+
+    assertThat(budget.spend(0)).isTrue();
+    assertThat(budget.spend(0)).isTrue();
+    assertThat(budget.spend(0)).isTrue();
+    assertThat(budget.spend(0)).isFalse();
+    assertThat(budget.spend(WINDOW + 1)).isTrue();
+  }
+
+  @Test
+  void everyWindowOfTheWholeFleetStaysUnderItsBudget() {
+    int fleet = 15;
+    SplittableRandom random = new SplittableRandom(11);
+    List<WindowBudget> budgets = new ArrayList<>();
+    for (int i = 0; i < fleet; i++) {
+      budgets.add(new WindowBudget(TERMS, () -> fleet));
+    }
+    List<Long> requests = new ArrayList<>();
+    List<Long> retries = new ArrayList<>();
+    long now = -TimeUnit.SECONDS.toNanos(3);
+    for (int i = 0; i < 20_000; i++) {
+      // The load changes by a factor of twenty every few seconds.
+      now += (i / 3_000) % 2 == 0 ? 500_000 : 10_000_000;
+      WindowBudget budget = budgets.get(random.nextInt(fleet));
+      budget.onRequest(now);
+      requests.add(now);
+      if (budget.spend(now)) {
+        retries.add(now);
+      }
+    }
+    for (long end = WINDOW; end < now; end += WINDOW / 7) {
+      long allowed = (long) (0.2 * mostRequests(requests, end)) + 60;
+      assertThat(count(retries, end - WINDOW, end)).isAtMost(allowed);
+    }
+  }
+
+  /** The requests of the window, of the one before it or of the one half a window before it. */
+  private static long mostRequests(List<Long> requests, long end) {
+    return Math.max(
+        count(requests, end - WINDOW, end),
+        Math.max(
+            count(requests, end - 2 * WINDOW, end - WINDOW),
+            count(requests, end - WINDOW * 3 / 2, end - WINDOW / 2)));
+  }
+
+  private static long count(List<Long> times, long from, long to) {
+    return times.stream().filter(each -> each >= from && each < to).count();
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/TargetDirectoryTest.java
@@ -0,0 +1,79 @@
+package org.waxwingbeam.target;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.waxwingbeam.target.TargetDirectory.Merge;
+import org.waxwingbeam.wire.feed.TargetRecord;
+
+class TargetDirectoryTest {
+  private final TargetDirectory directory = new TargetDirectory();
+
+  private static TargetRecord record(String id, long started, long report) {
+    return TargetRecord.newBuilder()
+        .setId(id)
+        .setHost("10.0.0.1")
+        .setPort(80)
+        .setService("alpha")
+        .setState(TargetRecord.State.READY)
+        .setStartedMs(started)
+        .setReport(report)
+        .build();
+  }
+
+  private static TargetRecord with(TargetRecord record, TargetRecord.State state) {
+    return record.toBuilder().setState(state).build();
+  }
+
+  private TargetRecord.State state(String id) {
+    return directory.find(0, id).orElseThrow().getState();
+  }
+
+  @Test
+  void lateReportDoesNotEndDrain() {
+    directory.merge(0, record("a", 1, 4));
+    assertThat(directory.merge(0, with(record("a", 1, 6), TargetRecord.State.DRAINING)))
+        .isEqualTo(Merge.CHANGED);
+
+    assertThat(directory.merge(0, record("a", 1, 5))).isEqualTo(Merge.STALE);
+    assertThat(state("a")).isEqualTo(TargetRecord.State.DRAINING);
+  }
+
+  @Test
+  void repeatedReportIsNoNews() {
+    assertThat(directory.merge(0, record("a", 1, 4))).isEqualTo(Merge.CHANGED);
+    assertThat(directory.merge(0, record("a", 1, 5))).isEqualTo(Merge.REFRESHED);
+  }
+
+  @Test
+  void targetThatLeftComesBackOnlyWithLaterStart() {
+    directory.merge(0, record("a", 1, 4));
+    TargetRecord gone =
+        TargetRecord.newBuilder().setId("a").setState(TargetRecord.State.GONE).build();
+    assertThat(directory.merge(0, gone)).isEqualTo(Merge.CHANGED);
+
+    assertThat(directory.merge(0, record("a", 1, 9))).isEqualTo(Merge.STALE);
+    assertThat(directory.merge(0, record("a", 2, 1))).isEqualTo(Merge.CHANGED);
+    assertThat(state("a")).isEqualTo(TargetRecord.State.READY);
+  }
+
+  @Test
+  void reportOfAnEarlierTargetAtAnAddressIsIgnored() {
+    directory.merge(0, record("new", 5, 1));
+
+    assertThat(directory.merge(0, record("old", 3, 8))).isEqualTo(Merge.STALE);
+    assertThat(directory.find(0, "old")).isEmpty();
+  }
+
+  @Test
+  void announcedColdStartIsNewsAndRunsOut() {
+    directory.merge(0, record("a", 1, 1));
+    TargetRecord cold = record("a", 1, 2).toBuilder().setColdLeftMs(3_000).build();
+
+    assertThat(directory.merge(0, cold)).isEqualTo(Merge.CHANGED);
+    assertThat(directory.find(1_000_000_000, "a").orElseThrow().getColdLeftMs()).isEqualTo(2_000);
+    TargetRecord later = record("a", 1, 3).toBuilder().setColdLeftMs(1_500).build();
+    assertThat(directory.merge(1_500_000_000, later)).isEqualTo(Merge.REFRESHED);
+    assertThat(directory.find(9_000_000_000L, "a").orElseThrow().getColdLeftMs()).isEqualTo(0);
+  }
+}
--- /dev/null
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/MoveCourseTest.java
@@ -0,0 +1,68 @@
+package org.waxwingbeam.target.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.waxwingbeam.wire.feed.VersionCounts;
+import org.waxwingbeam.wire.feed.VersionEvidence;
+import org.waxwingbeam.wire.routing.ServiceMove;
+
+class MoveCourseTest {
+  private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+  private static final ServiceMove MOVE =
+      ServiceMove.newBuilder()
+          .setService("alpha")
+          .setTo("v2")
+          .setDurationMs(12_000)
+          .setNumber(1)
+          .setState(ServiceMove.State.RUNNING)
+          .setSharePerMille(60)
+          .build();
+
+  private final MoveCourse course = new MoveCourse(0, MOVE);
+
+  private void observe(int before, int badBefore, int after, int badAfter) {
+    course.observe(
+        VersionEvidence.newBuilder()
+            .setService("alpha")
+            .setMove(1)
+            .setBefore(VersionCounts.newBuilder().setAnswers(before).setSlow(badBefore))
+            .setAfter(VersionCounts.newBuilder().setAnswers(after).setFailures(badAfter))
+            .build());
+  }
+
+  @Test
+  void goodVersionIsDoneBeforeTheLimit() {
+    observe(900, 20, 50, 1);
+
+    assertThat(course.next(8 * SECOND, MOVE)).isEmpty();
+    ServiceMove done = course.next(11 * SECOND, MOVE).orElseThrow();
+    assertThat(done.getState()).isEqualTo(ServiceMove.State.DONE);
+  }
+
+  @Test
+  void failingVersionIsRolledBackAtOnce() {
+    observe(200, 2, 12, 6);
+
+    ServiceMove back = course.next(2 * SECOND, MOVE).orElseThrow();
+    assertThat(back.getState()).isEqualTo(ServiceMove.State.ROLLED_BACK);
+    assertThat(back.getSharePerMille()).isEqualTo(0);
+  }
+
+  @Test
+  void faultsOfBothVersionsAreNoReasonToRollBack() {
+    observe(400, 80, 30, 7);
+
+    assertThat(course.next(2 * SECOND, MOVE)).isEqualTo(Optional.empty());
+  }
+
+  @Test
+  void versionThatAnsweredNothingIsRolledBackAtTheLimit() {
+    observe(400, 0, 0, 0);
+
+    ServiceMove back = course.next(11 * SECOND, MOVE).orElseThrow();
+    assertThat(back.getState()).isEqualTo(ServiceMove.State.ROLLED_BACK);
+  }
+}
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/EntryFixture.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/EntryFixture.java
@@ -18,6 +18,7 @@
 import org.waxwingbeam.caller.net.DispatchGate;
 import org.waxwingbeam.caller.net.ExchangeContext;
 import org.waxwingbeam.caller.net.RequestIds;
+import org.waxwingbeam.caller.net.RequestLog;
 import org.waxwingbeam.caller.net.RetryBudgets;
 import org.waxwingbeam.control.AppliedConfiguration;
 import org.waxwingbeam.control.ClaimClient;
@@ -93,6 +94,7 @@
             new InstanceName(shared.instance()),
             shared.claims(),
             shared.poison(),
+            new RequestLog(),
             new EntryMetrics(registry),
             System::nanoTime);
     server = new CallerServer(group, new Endpoint("127.0.0.1", 0), () -> limits, context);
