--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -28,6 +28,7 @@
 import org.waxwingbeam.target.LoadReport;
 import org.waxwingbeam.target.TargetDirectory;
 import org.waxwingbeam.target.net.TargetConnections;
+import org.waxwingbeam.target.placement.Experience;
 import org.waxwingbeam.target.placement.PlacementContext;
 import org.waxwingbeam.target.placement.PlacementDispatcher;
 import org.waxwingbeam.target.placement.VersionStops;
@@ -35,6 +36,7 @@
 import org.waxwingbeam.wire.feed.EntryFrame;
 import org.waxwingbeam.wire.feed.EntryGreeting;
 import org.waxwingbeam.wire.feed.LoadBatch;
+import org.waxwingbeam.wire.feed.TargetExperience;
 import org.waxwingbeam.wire.feed.TargetLoad;
 import org.waxwingbeam.wire.feed.TargetRecord;
 import org.waxwingbeam.wire.routing.CallerLimits;
@@ -326,6 +328,9 @@
               if (each.getSlots() > 0) {
                 dispatcher.noteReport(now, target, LoadNews.report(each));
               }
+              if (each.hasExperience()) {
+                dispatcher.noteExperience(now, target, LoadNews.experience(each));
+              }
               if (each.getBegun() > 0) {
                 dispatcher.noteBegun(now, target, each.getBegun());
               }
@@ -334,11 +339,18 @@
 
   /** Tells other entry instances what this one learns of targets' load. */
   private final class LoadNews implements PlacementContext.LoadListener {
+    private static final double PERCENT = 100;
+
     static LoadReport report(TargetLoad load) {
       return new LoadReport(
           load.getRunning(), load.getWaiting(), load.getSlots(), load.getSlownessPercent());
     }
 
+    static Experience experience(TargetLoad load) {
+      TargetExperience told = load.getExperience();
+      return new Experience(told.getPacePercent() / PERCENT, told.getAnswered(), told.getFailed());
+    }
+
     @Override
     public void begun(TargetId target) {
       loads.send(
@@ -350,16 +362,23 @@
     }
 
     @Override
-    public void reported(TargetId target, LoadReport report) {
-      loads.send(
+    public void ended(TargetId target, Optional<LoadReport> report, Experience experience) {
+      TargetLoad.Builder load =
           TargetLoad.newBuilder()
               .setHost(target.host())
               .setPort(target.port())
-              .setRunning(report.inFlight())
-              .setWaiting(report.queued())
-              .setSlots(report.slots())
-              .setSlownessPercent(report.slownessPercent())
-              .build());
+              .setExperience(
+                  TargetExperience.newBuilder()
+                      .setPacePercent((int) Math.round(experience.pace() * PERCENT))
+                      .setAnswered(experience.answered())
+                      .setFailed(experience.failed()));
+      report.ifPresent(
+          each ->
+              load.setRunning(each.inFlight())
+                  .setWaiting(each.queued())
+                  .setSlots(each.slots())
+                  .setSlownessPercent(each.slownessPercent()));
+      loads.send(load.build());
     }
   }
 
--- a/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/OperatingPageTest.java
+++ b/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/OperatingPageTest.java
@@ -24,7 +24,7 @@
  */
 class OperatingPageTest {
   private static final Path PAGE =
-      Path.of(System.getProperty("waxwingbeam.root"), "docs", "OPERATING.md");
+      Path.of(System.getProperty("waxwingbeam.root"), "docs", "OPERATIONS.md");
   private static final boolean REWRITE =
       System.getProperty("waxwingbeam.golden", "").equals("rewrite");
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -501,6 +501,7 @@
 
   private void finish(String result) {
     long now = context.clock().getAsLong();
+    context.metrics().onEnded(terms.route(), result, now - limits.startNanos());
     context
         .requestLog()
         .ended(
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/logging/LogOutput.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/logging/LogOutput.java
@@ -43,6 +43,44 @@
     OWN.setLevel(level.level());
   }
 
+  /**
+   * Replaces every handler of the process's log by one that never holds up the thread that logs.
+   *
+   * @param lines where lines go
+   * @param level the level for the system's own classes; libraries log from {@link LogLevel#WARN}
+   */
+  public static void install(BoundedLines lines, LogLevel level) {
+    install(System.err, level);
+    Arrays.stream(ROOT.getHandlers()).forEach(ROOT::removeHandler);
+    ROOT.addHandler(new LinesHandler(lines));
+  }
+
+  /** Hands each record to a queue. */
+  private static final class LinesHandler extends Handler {
+    private final BoundedLines lines;
+
+    LinesHandler(BoundedLines lines) {
+      this.lines = lines;
+      setFormatter(new LineFormatter());
+      setLevel(Level.ALL);
+    }
+
+    @Override
+    public void publish(LogRecord record) {
+      if (isLoggable(record)) {
+        lines.add(getFormatter().format(record));
+      }
+    }
+
+    @Override
+    public void flush() {}
+
+    @Override
+    public void close() {
+      lines.close();
+    }
+  }
+
   /** Writes each record at once. */
   private static final class StreamHandler extends Handler {
     private final PrintStream stream;
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/metrics/EntryMetrics.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/metrics/EntryMetrics.java
@@ -2,6 +2,7 @@
 
 import io.prometheus.metrics.core.datapoints.CounterDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.Arrays;
 import java.util.EnumMap;
@@ -9,6 +10,7 @@
 import java.util.function.Function;
 import org.waxwingbeam.caller.RetryReason;
 import org.waxwingbeam.model.ErrorKind;
+import org.waxwingbeam.model.RouteName;
 
 /**
  * Counts what an entry instance does with requests.
@@ -16,9 +18,12 @@
  * @since 0.1.0
  */
 public final class EntryMetrics {
+  private static final double NANOS_PER_SECOND = 1e9;
+
   private final Counter requests;
   private final Counter cutAnswers;
   private final Counter departures;
+  private final Histogram durations;
   private final Map<ErrorKind, CounterDataPoint> refusals;
   private final Map<RetryReason, CounterDataPoint> retries;
   private final Map<RetryReason, CounterDataPoint> deniedRetries;
@@ -40,6 +45,14 @@
             .name("waxwingbeam_entry_callers_gone")
             .help("Requests whose caller left before the answer was whole.")
             .register(registry);
+    durations =
+        Histogram.builder()
+            .name("waxwingbeam_entry_request_duration_seconds")
+            .help("Time from a request's arrival to the end of its answer, by route and result.")
+            .classicOnly()
+            .classicUpperBounds(0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1, 1.5, 2.5, 5)
+            .labelNames("route", "result")
+            .register(registry);
     refusals =
         dataPoints(
             counter(registry, "refusals", "Answers of the system itself by error kind.", "kind"),
@@ -79,6 +92,17 @@
     requests.inc();
   }
 
+  /**
+   * Notes the end of a request.
+   *
+   * @param route the route
+   * @param result how it ended
+   * @param nanos time since it arrived
+   */
+  public void onEnded(RouteName route, String result, long nanos) {
+    durations.labelValues(route.value(), result).observe(nanos / NANOS_PER_SECOND);
+  }
+
   /** Counts an answer of the system itself. */
   public void onRefusal(ErrorKind kind) {
     refusals.get(kind).inc();
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacedTarget.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacedTarget.java
@@ -22,6 +22,7 @@
   private final VersionName version;
   private final LoadEstimate load = new LoadEstimate();
   private final TargetTrust trust = new TargetTrust();
+  private final Pace pace = new Pace();
   private final ColdPacer pacer;
   private TargetRecord record;
   private boolean misplaced;
@@ -59,6 +60,15 @@
     }
   }
 
+  /** Takes in how an attempt of any entry instance ended. */
+  void learn(long nowNanos, Experience experience) {
+    if (experience.answered()) {
+      pace.answered(nowNanos, experience.pace());
+    } else if (!experience.failed()) {
+      pace.gaveUp(nowNanos, experience.pace());
+    }
+  }
+
   /** Returns whether the target takes new requests, as far as it has said. */
   boolean isReady() {
     return record.getState() == TargetRecord.State.READY && !misplaced;
@@ -138,7 +148,7 @@
 
   /** Returns how many times as long as usual work probably takes at the target. */
   double slowness(long nowNanos, double average) {
-    double reported = load.slowness(nowNanos, average);
+    double reported = load.slowness(nowNanos, average) * pace.factor(nowNanos);
     return pacer.isCold(nowNanos) ? reported * COLD_SLOWNESS : reported;
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
@@ -49,7 +49,13 @@
   private final VersionChoice versions;
   private final Map<String, PlacedTarget> targets = new HashMap<>();
   private final MoveEvidence evidence = new MoveEvidence();
+
+  /** Geometric mean of the answers' times by route, whatever the slowness of their targets. */
+  private final Map<RouteName, Double> usualPaceNanos = new HashMap<>();
+
+  /** Mean of the answers' times by route, at a target that works as usual. */
   private final Map<RouteName, Double> usualNanos = new HashMap<>();
+
   private ServiceTerms terms =
       ServiceTerms.newBuilder()
           .setColdStartMs((int) DEFAULT_COLD_MS)
@@ -104,6 +110,27 @@
     find(target).ifPresent(each -> each.noteReport(reportNanos, report));
   }
 
+  void noteExperience(long nowNanos, TargetId target, Experience experience) {
+    find(target)
+        .ifPresent(
+            each -> {
+              each.learn(nowNanos, experience);
+              each.trust().heard(experience.failed());
+            });
+  }
+
+  private Experience experience(DispatchRequest request, Completion completion) {
+    double usual = usualPaceNanos.getOrDefault(request.route(), 0.0);
+    boolean answered = completion.outcome() == Outcome.SUCCESS;
+    boolean failed =
+        switch (completion.outcome()) {
+          case FAILURE, CONNECTION_LOST, CONNECT_FAILED -> true;
+          default -> false;
+        };
+    double pace = usual > 0 ? completion.headLatencyNanos() / usual : 1;
+    return new Experience(pace, answered, failed);
+  }
+
   void noteBegun(long nowNanos, TargetId target, int requests) {
     find(target).ifPresent(each -> each.noteBegun(nowNanos, requests));
   }
@@ -210,9 +237,9 @@
         .ifPresent(
             target -> {
               note(nowNanos, request, target, completion);
-              completion
-                  .report()
-                  .ifPresent(report -> context.loads().reported(target.id(), report));
+              Experience experience = experience(request, completion);
+              target.learn(nowNanos, experience);
+              context.loads().ended(target.id(), completion.report(), experience);
               target.end(
                   nowNanos, completion, terms.getColdStartMs() * NANOS_PER_MS, coldIntervalNanos());
             });
@@ -232,6 +259,10 @@
             });
     evidence.note(move, target.version().value(), completion, slowNanos(nowNanos, request, target));
     if (completion.outcome() == Outcome.SUCCESS) {
+      usualPaceNanos.merge(
+          request.route(),
+          (double) completion.headLatencyNanos(),
+          (before, now) -> before * Math.exp(AVERAGE_WEIGHT * Math.log(now / before)));
       double slowness = target.slowness(nowNanos, averageSlowness);
       double usual = completion.headLatencyNanos() / Math.max(1, slowness);
       usualNanos.merge(
--- /dev/null
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/logging/BoundedLinesTest.java
@@ -0,0 +1,51 @@
+package org.waxwingbeam.logging;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class BoundedLinesTest {
+  /** A stream that nobody reads until it is opened. */
+  private static final class BlockedStream extends OutputStream {
+    private final CountDownLatch opened = new CountDownLatch(1);
+    private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+
+    @Override
+    public void write(int value) throws IOException {
+      try {
+        assertThat(opened.await(20, TimeUnit.SECONDS)).isTrue();
+      } catch (InterruptedException interrupted) {
+        throw new IOException(interrupted);
+      }
+      bytes.write(value);
+    }
+  }
+
+  @Test
+  void streamThatNobodyReadsHoldsUpNothingAndTheLossIsCounted() throws Exception {
+    BlockedStream stream = new BlockedStream();
+    try (BoundedLines lines = new BoundedLines(new PrintStream(stream, true, UTF_8), 10)) {
+      lines.add("first");
+      TimeUnit.MILLISECONDS.sleep(100);
+      long start = System.nanoTime();
+      for (int i = 0; i < 1_000; i++) {
+        lines.add("line " + i);
+      }
+      assertThat(System.nanoTime() - start).isLessThan(TimeUnit.SECONDS.toNanos(2));
+      stream.opened.countDown();
+      TimeUnit.MILLISECONDS.sleep(300);
+    }
+
+    String text = stream.bytes.toString(UTF_8);
+    assertThat(text).startsWith("first\n");
+    assertThat(text).contains("line 9\n");
+    assertThat(text).contains("event=log-lines-left-out lines=990\n");
+  }
+}
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/PlacementDispatcherTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/PlacementDispatcherTest.java
@@ -52,7 +52,7 @@
     public void begun(TargetId target) {}
 
     @Override
-    public void reported(TargetId target, LoadReport report) {}
+    public void ended(TargetId target, Optional<LoadReport> report, Experience experience) {}
   }
 
   private static RoutingState state() {
@@ -137,6 +137,24 @@
     assertThat(place(2 * MS)).isEqualTo(id(4));
   }
 
+  @Test
+  void targetThatIsSlowWithoutSayingSoIsAvoidedAndFoundAgain() {
+    dispatcher.update(0, record(2, "v1"));
+    dispatcher.update(0, record(4, "v1"));
+    for (int i = 0; i < 12; i++) {
+      dispatcher.noteExperience(i * MS, id(2), new Experience(8, true, false));
+      dispatcher.noteExperience(i * MS, id(4), new Experience(1, true, false));
+    }
+    dispatcher.noteReport(20 * MS, id(2), new LoadReport(0, 0, 4, 100));
+    dispatcher.noteReport(20 * MS, id(4), new LoadReport(1, 0, 4, 100));
+    assertThat(place(21 * MS)).isEqualTo(id(4));
+
+    long later = 20 * SECOND;
+    dispatcher.noteReport(later, id(2), new LoadReport(0, 0, 4, 100));
+    dispatcher.noteReport(later, id(4), new LoadReport(3, 0, 4, 100));
+    assertThat(place(later)).isEqualTo(id(2));
+  }
+
   @Test
   void nothingIsSentToDataCentreThatIsOut() {
     dispatcher.update(0, record(1, "v1"));
