--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaLinks.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaLinks.java
@@ -23,6 +23,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.waxwingbeam.control.net.Channels;
+import org.waxwingbeam.control.net.Keepalive;
 import org.waxwingbeam.control.net.MessageFraming;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.wire.replica.ReplicaFrame;
@@ -72,7 +73,7 @@
     this.helloReceiver = helloReceiver;
     this.messageReceiver = messageReceiver;
     server =
-        new ServerBootstrap()
+        Keepalive.watch(new ServerBootstrap())
             .group(group)
             .channel(NioServerSocketChannel.class)
             .childHandler(new Initializer())
@@ -102,7 +103,7 @@
 
   private void connect(Endpoint address) {
     outbound.put(address.toString(), new Outbound(Optional.empty()));
-    new Bootstrap()
+    Keepalive.watch(new Bootstrap())
         .group(group)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.waxwingbeam.model.TargetId;
 
 /**
@@ -32,6 +33,9 @@
 // A failed write or close shows in channelInactive.
 @SuppressWarnings("FutureReturnValueIgnored")
 public final class TargetConnection extends ChannelInboundHandlerAdapter {
+  /** Time for which a connection may be idle whose target has stated no limit. */
+  private static final long DEFAULT_IDLE_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(8);
+
   private final TargetId target;
   private final TargetPool pool;
   private final AnswerDecoder decoder;
@@ -47,6 +51,8 @@
   private boolean skippingInformational;
   private boolean reusable;
   private boolean echoesRequestId;
+  private long idleLimitNanos = DEFAULT_IDLE_LIMIT_NANOS;
+  private long idleSinceNanos;
   private int exchanges;
 
   TargetConnection(TargetId target, TargetPool pool, AnswerDecoder decoder, TargetDialect dialect) {
@@ -66,6 +72,16 @@
     return target;
   }
 
+  /** Notes that the connection is idle from now on. */
+  void rest() {
+    idleSinceNanos = System.nanoTime();
+  }
+
+  /** Returns whether the target surely has not closed the connection for being idle. */
+  boolean isFresh() {
+    return channel.isActive() && System.nanoTime() - idleSinceNanos < idleLimitNanos;
+  }
+
   Channel channel() {
     return channel;
   }
@@ -150,6 +166,8 @@
       return;
     }
     reusable = HttpUtil.isKeepAlive(head);
+    idleLimitNanos =
+        KeepAliveHeader.idleLimitNanos(head.headers()).orElse(DEFAULT_IDLE_LIMIT_NANOS);
     if (!isExpected(head)) {
       fail(ExchangeFailure.MALFORMED_ANSWER);
     } else {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnections.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnections.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import org.waxwingbeam.control.net.Keepalive;
 import org.waxwingbeam.model.TargetId;
 
 /**
@@ -81,7 +82,7 @@
     AnswerDecoder decoder = new AnswerDecoder();
     TargetConnection connection = new TargetConnection(pool.target(), pool, decoder, dialect);
     ChannelFuture opening =
-        new Bootstrap()
+        Keepalive.watch(new Bootstrap())
             .group(loop)
             .channel(NioSocketChannel.class)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetPool.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetPool.java
@@ -67,6 +67,7 @@
   /** Takes back a connection whose exchange is complete. Called on its event loop. */
   void release(TargetConnection connection) {
     EventLoop loop = connection.channel().eventLoop();
+    connection.rest();
     Optional<Waiter> waiter;
     synchronized (lock) {
       waiter = takeWaiter(loop);
@@ -117,9 +118,10 @@
     Deque<TargetConnection> own = idle.get(loop);
     while (own != null && !own.isEmpty()) {
       TargetConnection connection = own.pop();
-      if (connection.channel().isActive()) {
+      if (connection.isFresh()) {
         return Optional.of(connection);
       }
+      connection.channel().close();
     }
     return Optional.empty();
   }
