--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -63,6 +63,9 @@
   /** Pause between two looks at the connections to control replicas. */
   private static final long FEED_TICK_MS = 100;
 
+  /** Pause between two looks at the requests that wait for room. */
+  private static final long WAITING_TICK_MS = 10;
+
   /** Time after which a connection to a target that has not opened is given up. */
   private static final int CONNECT_TIMEOUT_MS = 300;
 
@@ -89,6 +92,7 @@
   private final PoisonList poison = new PoisonList(CRASHES_UNTIL_REFUSAL);
   private final SplittableRandom random = new SplittableRandom();
   private final PlacementDispatcher dispatcher;
+  private final DispatchGate gate;
   private final FeedClient feed;
   private final LoadExchange loads;
   private final CallerServer callers;
@@ -142,9 +146,10 @@
             .build();
     loads = LoadExchange.start(group, settings.loads(), this::receive);
     feed = new FeedClient(group.next(), greeting, settings.replicas(), new FeedListener());
+    gate = new DispatchGate(dispatcher, System::nanoTime);
     ExchangeContext context =
         new ExchangeContext(
-            new DispatchGate(dispatcher, System::nanoTime),
+            gate,
             new TargetConnections(protocols.target(), CONNECT_TIMEOUT_MS),
             (method, host, uri) -> routes.classify(method, host, uri),
             protocols,
@@ -172,6 +177,10 @@
       EventLoopGroup group, Settings settings, ExchangeContext.Protocols protocols) {
     RoutedEntry entry = new RoutedEntry(group, settings, protocols);
     group.next().scheduleAtFixedRate(entry::tick, 0, FEED_TICK_MS, TimeUnit.MILLISECONDS);
+    group
+        .next()
+        .scheduleAtFixedRate(
+            entry.gate::tick, WAITING_TICK_MS, WAITING_TICK_MS, TimeUnit.MILLISECONDS);
     LOG.info(
         "entry-started",
         "instance",
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -141,6 +141,7 @@
             (int) terms.value(Parameter.QUEUE_LIMIT),
             limits.headDeadlineNanos(),
             limits.startNanos() + terms.value(Parameter.RESPONSE_GOAL) * NANOS_PER_MS,
+            !active.isEmpty(),
             Set.copyOf(used));
     int limit = (int) terms.value(Parameter.CONNECTION_LIMIT);
     Attempt attempt =
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementDispatcher.java
@@ -112,7 +112,7 @@
       return new Decision.Refused(request.attemptId(), ErrorKind.DEADLINE_BEFORE_START, 0);
     }
     Decision decision = service(request.service().value()).request(nowNanos, request);
-    if (decision instanceof Decision.Assigned) {
+    if (!(decision instanceof Decision.Refused)) {
       underWay.put(request.attemptId(), request);
     }
     return decision;
@@ -120,20 +120,39 @@
 
   @Override
   public List<Decision> complete(long nowNanos, Completion completion) {
-    Optional.ofNullable(underWay.remove(completion.attemptId()))
-        .ifPresent(
-            request -> service(request.service().value()).complete(nowNanos, request, completion));
-    return List.of();
+    DispatchRequest request = underWay.remove(completion.attemptId());
+    if (request == null) {
+      return List.of();
+    }
+    ServicePlacement placement = service(request.service().value());
+    placement.complete(nowNanos, request, completion);
+    return serveWaiting(nowNanos, placement);
+  }
+
+  private List<Decision> serveWaiting(long nowNanos, ServicePlacement placement) {
+    if (!placement.isWaiting()) {
+      return List.of();
+    }
+    List<Decision> decisions = placement.serveWaiting(nowNanos);
+    decisions.stream()
+        .filter(Decision.Refused.class::isInstance)
+        .forEach(each -> underWay.remove(each.attemptId()));
+    return decisions;
   }
 
   @Override
   public void cancel(long nowNanos, long attemptId) {
-    // No attempt waits here.
+    DispatchRequest request = underWay.remove(attemptId);
+    if (request != null) {
+      service(request.service().value()).cancel(attemptId);
+    }
   }
 
   @Override
   public List<Decision> tick(long nowNanos) {
-    return List.of();
+    return services.values().stream()
+        .flatMap(each -> serveWaiting(nowNanos, each).stream())
+        .toList();
   }
 
   /** Returns what was seen of the moves under way since the last call. */
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
@@ -1,5 +1,6 @@
 package org.waxwingbeam.target.placement;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -40,6 +41,12 @@
   /** Weight of the newest answer in averages over the service. */
   private static final double AVERAGE_WEIGHT = 0.05;
 
+  /** Part of a target's slots that is used: many work more slowly when they are nearly full. */
+  private static final double USABLE_SLOTS = 0.8;
+
+  /** Estimates of what others have under way are fractions; this much counts as nothing. */
+  private static final double ROUNDING = 0.5;
+
   private static final long NANOS_PER_MS = 1_000_000;
   private static final long DEFAULT_COLD_MS = 3_000;
   private static final double DEFAULT_COLD_PER_SECOND = 4;
@@ -48,6 +55,7 @@
   private final RandomGenerator random;
   private final VersionChoice versions;
   private final Map<String, PlacedTarget> targets = new HashMap<>();
+  private final WaitingLine line = new WaitingLine();
   private final MoveEvidence evidence = new MoveEvidence();
 
   /** Geometric mean of the answers' times by route, whatever the slowness of their targets. */
@@ -143,30 +151,59 @@
     return ColdPacer.intervalNanos(terms.getColdPerSecond(), context.fleetSize().getAsInt());
   }
 
-  /** Decides on a request. */
+  /** Decides on a request: sends it, lets it wait for room, or refuses it. */
   Decision request(long nowNanos, DispatchRequest request) {
+    Placing placing = place(nowNanos, request);
+    return switch (placing) {
+      case Placing.Impossible impossible ->
+          new Decision.Refused(request.attemptId(), ErrorKind.NO_TARGET, NO_TARGET_RETRY_MS);
+      case Placing.Possible possible when !canAnswerInTime(nowNanos, request, possible.target()) ->
+          overloaded(request);
+      case Placing.Possible possible when mayGo(nowNanos, request, possible) ->
+          assign(nowNanos, request, possible);
+      case Placing.Possible possible when !request.hedge() && line.add(nowNanos, request) ->
+          new Decision.Queued(request.attemptId());
+      case Placing.Possible possible -> overloaded(request);
+    };
+  }
+
+  /** Returns whether a request goes now: there is room, and nobody has waited for it longer. */
+  private boolean mayGo(long nowNanos, DispatchRequest request, Placing.Possible possible) {
+    return line.isEmpty()
+        && hasRoom(nowNanos, possible.target())
+        && (request.hedge() || canMeetGoal(nowNanos, request, possible.target()));
+  }
+
+  /** What the targets allow for a request. */
+  private sealed interface Placing {
+    /** The best target, and the number of targets among which it was chosen. */
+    record Possible(PlacedTarget target, int candidates) implements Placing {}
+
+    /** No target may take the request. */
+    record Impossible() implements Placing {}
+  }
+
+  private Placing place(long nowNanos, DispatchRequest request) {
     List<PlacedTarget> open =
         targets.values().stream()
             .filter(PlacedTarget::isReady)
             .filter(each -> !dataCentresOut.contains(each.record().getDataCentre()))
             .toList();
     Predicate<String> version = versions.next(move, open, context.stops().isStopped(move));
-    Optional<PlacedTarget> chosen =
-        choose(nowNanos, request, open, version)
-            .or(() -> choose(nowNanos, request, open, this::isProven));
-    if (chosen.isEmpty()) {
-      return new Decision.Refused(request.attemptId(), ErrorKind.NO_TARGET, NO_TARGET_RETRY_MS);
-    }
-    if (!canAnswerInTime(nowNanos, request, chosen.get())) {
-      return new Decision.Refused(request.attemptId(), ErrorKind.OVERLOADED, OVERLOADED_RETRY_MS);
-    }
-    PlacedTarget target = chosen.get();
+    return choose(nowNanos, request, open, version)
+        .or(() -> choose(nowNanos, request, open, this::isProven))
+        .<Placing>map(each -> new Placing.Possible(each, open.size()))
+        .orElseGet(Placing.Impossible::new);
+  }
+
+  private Decision assign(long nowNanos, DispatchRequest request, Placing.Possible possible) {
+    PlacedTarget target = possible.target();
     Decision.Basis basis =
         new Decision.Basis(
             target.outstanding(nowNanos, averageOthers),
             target.slowness(nowNanos, averageSlowness),
             target.reportAgeMs(nowNanos),
-            open.size());
+            possible.candidates());
     target.begin(nowNanos, coldIntervalNanos());
     context.loads().begun(target.id());
     return new Decision.Assigned(
@@ -177,6 +214,60 @@
         Optional.of(basis));
   }
 
+  /** Refuses a request; its caller may return after a time that differs from the others'. */
+  private Decision overloaded(DispatchRequest request) {
+    long spreadMs = (long) (OVERLOADED_RETRY_MS * (1 + random.nextDouble()));
+    return new Decision.Refused(request.attemptId(), ErrorKind.OVERLOADED, spreadMs);
+  }
+
+  /**
+   * Lets waiting requests go where there is room now, and refuses those that have waited long
+   * enough, unless a target has room that would answer late.
+   */
+  List<Decision> serveWaiting(long nowNanos) {
+    List<Decision> decisions = new ArrayList<>();
+    for (WaitingLine.Waiting each : line.inOrder()) {
+      boolean goes =
+          place(nowNanos, each.request()) instanceof Placing.Possible possible
+              && hasRoom(nowNanos, possible.target())
+              && canMeetGoal(nowNanos, each.request(), possible.target());
+      if (!goes) {
+        break;
+      }
+      line.depart(nowNanos, each);
+      decisions.add(decideNow(nowNanos, each.request()));
+    }
+    line.takeOverdue(nowNanos).forEach(each -> decisions.add(decideNow(nowNanos, each.request())));
+    return decisions;
+  }
+
+  private Decision decideNow(long nowNanos, DispatchRequest request) {
+    return place(nowNanos, request) instanceof Placing.Possible possible
+            && hasRoom(nowNanos, possible.target())
+            && canAnswerInTime(nowNanos, request, possible.target())
+        ? assign(nowNanos, request, possible)
+        : overloaded(request);
+  }
+
+  /** Forgets a request that waits. */
+  void cancel(long attemptId) {
+    line.remove(attemptId);
+  }
+
+  boolean isWaiting() {
+    return !line.isEmpty();
+  }
+
+  /** Returns whether one more request would leave the target below the knee of its throughput. */
+  private boolean hasRoom(long nowNanos, PlacedTarget target) {
+    double most = Math.max(1, Math.floor(USABLE_SLOTS * target.slots()));
+    return target.outstanding(nowNanos, averageOthers) + 1 <= most + ROUNDING;
+  }
+
+  private boolean canMeetGoal(long nowNanos, DispatchRequest request, PlacedTarget target) {
+    return predictedNanos(nowNanos, request, target) <= request.goalNanos() - nowNanos;
+  }
+
   /** Returns whether a version may serve what the chosen one cannot. */
   private boolean isProven(String version) {
     return move.map(each -> isProvenBy(each, version)).orElse(false);
@@ -226,9 +317,12 @@
   }
 
   private boolean canAnswerInTime(long nowNanos, DispatchRequest request, PlacedTarget target) {
+    return predictedNanos(nowNanos, request, target) <= request.deadlineNanos() - nowNanos;
+  }
+
+  private double predictedNanos(long nowNanos, DispatchRequest request, PlacedTarget target) {
     double usual = usualNanos.getOrDefault(request.route(), 0.0);
-    double predicted = usual * score(nowNanos, target).predictedTime();
-    return predicted <= request.deadlineNanos() - nowNanos;
+    return usual * score(nowNanos, target).predictedTime();
   }
 
   /** Takes in the end of an attempt. */
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/EntryDispatcherTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/EntryDispatcherTest.java
@@ -163,6 +163,7 @@
         64,
         1_000_000_000L,
         1_000_000_000L,
+        false,
         Set.of());
   }
 
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/WaitingQueueTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/WaitingQueueTest.java
@@ -72,6 +72,7 @@
             64,
             1_000,
             1_000,
+            false,
             Set.of());
     return new Attempt(request, Optional.empty(), null);
   }
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/PlacementDispatcherTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/PlacementDispatcherTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -98,6 +99,7 @@
         64,
         now + SECOND,
         now + 250 * MS,
+        false,
         excluded);
   }
 
@@ -109,6 +111,13 @@
     return ((Decision.Assigned) decide(now)).target();
   }
 
+  /** Places a request and lets it end at once. */
+  private TargetId placeAndEnd(long now) {
+    TargetId target = place(now);
+    complete(now, target, Outcome.SUCCESS, Optional.of(new LoadReport(0, 0, 4, 100)));
+    return target;
+  }
+
   private void complete(long now, TargetId target, Outcome outcome, Optional<LoadReport> report) {
     dispatcher.complete(now, new Completion(attempts, target, outcome, 90 * MS, report));
   }
@@ -155,6 +164,81 @@
     assertThat(place(later)).isEqualTo(id(2));
   }
 
+  private void fill(int number, int running) {
+    dispatcher.noteReport(SECOND, id(number), new LoadReport(running, 0, 4, 100));
+  }
+
+  @Test
+  void requestsWaitForRoomInTheOrderOfTheirRank() {
+    dispatcher.update(0, record(2, "v1"));
+    fill(2, 4);
+    DispatchRequest patient = request(SECOND, Set.of());
+    Decision first = dispatcher.request(SECOND, patient);
+    DispatchRequest urgent = withRank(request(SECOND, Set.of()), 0);
+    Decision second = dispatcher.request(SECOND, urgent);
+    assertThat(first).isEqualTo(new Decision.Queued(patient.attemptId()));
+    assertThat(second).isEqualTo(new Decision.Queued(urgent.attemptId()));
+
+    dispatcher.noteReport(SECOND + MS, id(2), new LoadReport(2, 0, 4, 100));
+    List<Decision> decisions = dispatcher.tick(SECOND + 2 * MS);
+
+    assertThat(decisions).hasSize(1);
+    assertThat(decisions.getFirst().attemptId()).isEqualTo(urgent.attemptId());
+  }
+
+  private static DispatchRequest withRank(DispatchRequest request, int rank) {
+    return new DispatchRequest(
+        request.attemptId(),
+        request.service(),
+        request.account(),
+        request.route(),
+        request.idempotent(),
+        rank,
+        request.queueLimit(),
+        request.deadlineNanos(),
+        request.goalNanos(),
+        request.hedge(),
+        request.excluded());
+  }
+
+  @Test
+  void requestThatFindsNoRoomIsRefusedWhileItsCallerHasTimeLeft() {
+    dispatcher.update(0, record(2, "v1"));
+    fill(2, 4);
+    Decision waits = decide(SECOND);
+    fill(2, 4);
+
+    assertThat(dispatcher.tick(SECOND + 50 * MS)).isEmpty();
+    dispatcher.noteReport(SECOND + 100 * MS, id(2), new LoadReport(4, 3, 4, 100));
+    List<Decision> decisions = dispatcher.tick(SECOND + 101 * MS);
+
+    assertThat(decisions).hasSize(1);
+    assertThat(decisions.getFirst().attemptId()).isEqualTo(waits.attemptId());
+    assertThat(decisions.getFirst()).isInstanceOf(Decision.Refused.class);
+  }
+
+  @Test
+  void hedgeIsRefusedRatherThanMadeToWait() {
+    dispatcher.update(0, record(2, "v1"));
+    fill(2, 4);
+    DispatchRequest plain = request(SECOND, Set.of());
+    DispatchRequest hedge =
+        new DispatchRequest(
+            plain.attemptId(),
+            plain.service(),
+            plain.account(),
+            plain.route(),
+            true,
+            1,
+            64,
+            plain.deadlineNanos(),
+            plain.goalNanos(),
+            true,
+            Set.of());
+
+    assertThat(dispatcher.request(SECOND, hedge)).isInstanceOf(Decision.Refused.class);
+  }
+
   @Test
   void nothingIsSentToDataCentreThatIsOut() {
     dispatcher.update(0, record(1, "v1"));
@@ -162,7 +246,7 @@
     dispatcher.configure(state().toBuilder().addDataCentresOut("annecy").build());
 
     for (int i = 0; i < 20; i++) {
-      assertThat(place(i * MS)).isEqualTo(id(2));
+      assertThat(placeAndEnd(i * MS)).isEqualTo(id(2));
     }
   }
 
@@ -186,7 +270,7 @@
     complete(MS, failed, Outcome.CONNECT_FAILED, Optional.empty());
 
     for (int i = 2; i < 100; i++) {
-      assertThat(place(i * MS)).isNotEqualTo(failed);
+      assertThat(placeAndEnd(i * MS)).isNotEqualTo(failed);
     }
   }
 
@@ -234,7 +318,7 @@
     dispatcher.update(0, record(6, "v2"));
 
     for (int i = 0; i < 50; i++) {
-      assertThat(place(i)).isNotEqualTo(id(6));
+      assertThat(placeAndEnd(i)).isNotEqualTo(id(6));
     }
   }
 
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/FakeEntry.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/FakeEntry.java
@@ -98,6 +98,7 @@
             queueLimit,
             exchange.arrived + DEADLINE_NANOS,
             exchange.arrived + DEADLINE_NANOS,
+            false,
             Set.copyOf(exchange.tried));
     apply(dispatcher.request(loop.now(), request));
   }
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/sessions/SessionRequest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/sessions/SessionRequest.java
@@ -127,6 +127,7 @@
             (int) terms.value(Parameter.QUEUE_LIMIT),
             deadline,
             deadline,
+            false,
             Set.copyOf(used));
     decided(entry.dispatcher().request(world.clock().nowNanos(), request));
   }
