--- /dev/null
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/PlacementLoadTest.java
@@ -0,0 +1,111 @@
+package org.waxwingbeam.target.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.model.VersionName;
+import org.waxwingbeam.target.Completion;
+import org.waxwingbeam.target.Decision;
+import org.waxwingbeam.target.DispatchRequest;
+import org.waxwingbeam.target.Dispatcher;
+import org.waxwingbeam.target.LoadReport;
+import org.waxwingbeam.wire.routing.RoutingState;
+
+/**
+ * Plays loads from light to far beyond what the targets can do, and compares what callers get with
+ * what a choice at random would give them.
+ */
+class PlacementLoadTest {
+  private static final int ENTRIES = 15;
+  private static final long DURATION = TimeUnit.SECONDS.toNanos(15);
+  private static final LongStream SEEDS = LongStream.rangeClosed(1, 4);
+
+  /** Answers a second that fifteen targets of four slots give at best, with their slow times. */
+  private static final double CAPACITY = 15 * 3 / (0.09 * 2);
+
+  /** Sends each request to a target chosen at random. */
+  private static final class RandomDispatcher implements Dispatcher {
+    private final SplittableRandom random;
+
+    RandomDispatcher(long seed) {
+      random = new SplittableRandom(seed);
+    }
+
+    @Override
+    public Decision request(long nowNanos, DispatchRequest request) {
+      TargetId target = new TargetId("10.0.0." + random.nextInt(1, 16), 80);
+      return new Decision.Assigned(request.attemptId(), target, new VersionName("v1"));
+    }
+
+    @Override
+    public List<Decision> complete(long nowNanos, Completion completion) {
+      return List.of();
+    }
+
+    @Override
+    public void cancel(long nowNanos, long attemptId) {}
+
+    @Override
+    public List<Decision> tick(long nowNanos) {
+      return List.of();
+    }
+  }
+
+  private static Dispatcher placement(long seed) {
+    PlacementContext.LoadListener silent =
+        new PlacementContext.LoadListener() {
+          @Override
+          public void begun(TargetId target) {}
+
+          @Override
+          public void ended(TargetId target, Optional<LoadReport> report, Experience experience) {}
+        };
+    PlacementDispatcher dispatcher =
+        new PlacementDispatcher(
+            new PlacementContext(
+                "chamonix", () -> ENTRIES, new SplittableRandom(seed), silent, new VersionStops()));
+    dispatcher.configure(RoutingState.getDefaultInstance());
+    LoadPlay.records().forEach(each -> dispatcher.update(0, each));
+    return dispatcher;
+  }
+
+  private static LoadPlay.Result random(long seed, double load) {
+    return new LoadPlay(seed, ENTRIES, each -> new RandomDispatcher(seed * 100 + each))
+        .play(load * CAPACITY, DURATION);
+  }
+
+  private static LoadPlay.Result placed(long seed, double load) {
+    return new LoadPlay(seed, ENTRIES, each -> placement(seed * 100 + each))
+        .play(load * CAPACITY, DURATION);
+  }
+
+  private static double inTime(LoadPlay.Result result) {
+    return (double) result.inTime() / result.asked();
+  }
+
+  @Test
+  void callersAreServedBetterThanByRandomChoiceAtEveryLoad() {
+    SEEDS.forEach(
+        seed -> {
+          for (double load : new double[] {0.3, 0.6, 0.9, 1.2}) {
+            LoadPlay.Result placed = placed(seed, load);
+            LoadPlay.Result random = random(seed, load);
+            assertThat(inTime(placed)).isGreaterThan(inTime(random));
+          }
+        });
+  }
+
+  @Test
+  void overloadDoesNotReduceWhatIsServedInTime() {
+    LoadPlay.Result full = placed(7, 0.9);
+    LoadPlay.Result beyond = placed(7, 1.5);
+
+    assertThat((double) beyond.inTime()).isAtLeast(0.9 * full.inTime());
+  }
+}
