--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -28,7 +28,6 @@
 import org.waxwingbeam.target.LoadReport;
 import org.waxwingbeam.target.TargetDirectory;
 import org.waxwingbeam.target.net.TargetConnections;
-import org.waxwingbeam.target.placement.Experience;
 import org.waxwingbeam.target.placement.PlacementContext;
 import org.waxwingbeam.target.placement.PlacementDispatcher;
 import org.waxwingbeam.target.placement.VersionStops;
@@ -36,7 +35,6 @@
 import org.waxwingbeam.wire.feed.EntryFrame;
 import org.waxwingbeam.wire.feed.EntryGreeting;
 import org.waxwingbeam.wire.feed.LoadBatch;
-import org.waxwingbeam.wire.feed.TargetExperience;
 import org.waxwingbeam.wire.feed.TargetLoad;
 import org.waxwingbeam.wire.feed.TargetRecord;
 import org.waxwingbeam.wire.routing.CallerLimits;
@@ -337,9 +335,6 @@
               if (each.getSlots() > 0) {
                 dispatcher.noteReport(now, target, LoadNews.report(each));
               }
-              if (each.hasExperience()) {
-                dispatcher.noteExperience(now, target, LoadNews.experience(each));
-              }
               if (each.getBegun() > 0) {
                 dispatcher.noteBegun(now, target, each.getBegun());
               }
@@ -348,18 +343,11 @@
 
   /** Tells other entry instances what this one learns of targets' load. */
   private final class LoadNews implements PlacementContext.LoadListener {
-    private static final double PERCENT = 100;
-
     static LoadReport report(TargetLoad load) {
       return new LoadReport(
           load.getRunning(), load.getWaiting(), load.getSlots(), load.getSlownessPercent());
     }
 
-    static Experience experience(TargetLoad load) {
-      TargetExperience told = load.getExperience();
-      return new Experience(told.getPacePercent() / PERCENT, told.getAnswered(), told.getFailed());
-    }
-
     @Override
     public void begun(TargetId target) {
       loads.send(
@@ -371,23 +359,16 @@
     }
 
     @Override
-    public void ended(TargetId target, Optional<LoadReport> report, Experience experience) {
-      TargetLoad.Builder load =
+    public void reported(TargetId target, LoadReport report) {
+      loads.send(
           TargetLoad.newBuilder()
               .setHost(target.host())
               .setPort(target.port())
-              .setExperience(
-                  TargetExperience.newBuilder()
-                      .setPacePercent((int) Math.round(experience.pace() * PERCENT))
-                      .setAnswered(experience.answered())
-                      .setFailed(experience.failed()));
-      report.ifPresent(
-          each ->
-              load.setRunning(each.inFlight())
-                  .setWaiting(each.queued())
-                  .setSlots(each.slots())
-                  .setSlownessPercent(each.slownessPercent()));
-      loads.send(load.build());
+              .setRunning(report.inFlight())
+              .setWaiting(report.queued())
+              .setSlots(report.slots())
+              .setSlownessPercent(report.slownessPercent())
+              .build());
     }
   }
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacedTarget.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacedTarget.java
@@ -22,7 +22,6 @@
   private final VersionName version;
   private final LoadEstimate load = new LoadEstimate();
   private final TargetTrust trust = new TargetTrust();
-  private final Pace pace = new Pace();
   private final ColdPacer pacer;
   private TargetRecord record;
   private boolean misplaced;
@@ -60,15 +59,6 @@
     }
   }
 
-  /** Takes in how an attempt of any entry instance ended. */
-  void learn(long nowNanos, Experience experience) {
-    if (experience.answered()) {
-      pace.answered(nowNanos, experience.pace());
-    } else if (!experience.failed()) {
-      pace.gaveUp(nowNanos, experience.pace());
-    }
-  }
-
   /** Returns whether the target takes new requests, as far as it has said. */
   boolean isReady() {
     return record.getState() == TargetRecord.State.READY && !misplaced;
@@ -148,7 +138,7 @@
 
   /** Returns how many times as long as usual work probably takes at the target. */
   double slowness(long nowNanos, double average) {
-    double reported = load.slowness(nowNanos, average) * pace.factor(nowNanos);
+    double reported = load.slowness(nowNanos, average);
     return pacer.isCold(nowNanos) ? reported * COLD_SLOWNESS : reported;
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementContext.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementContext.java
@@ -1,6 +1,5 @@
 package org.waxwingbeam.target.placement;
 
-import java.util.Optional;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.waxwingbeam.model.TargetId;
@@ -27,12 +26,7 @@
     /** A request was sent to a target. */
     void begun(TargetId target);
 
-    /**
-     * An attempt at a target has ended.
-     *
-     * @param report what the target said of its load, if it did
-     * @param experience how it ended
-     */
-    void ended(TargetId target, Optional<LoadReport> report, Experience experience);
+    /** A target has reported its load. */
+    void reported(TargetId target, LoadReport report);
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementDispatcher.java
@@ -78,15 +78,6 @@
     services.values().forEach(each -> each.noteReport(reportNanos, target, report));
   }
 
-  /**
-   * Takes in how an attempt of another entry instance ended.
-   *
-   * @param nowNanos the present time
-   */
-  public void noteExperience(long nowNanos, TargetId target, Experience experience) {
-    services.values().forEach(each -> each.noteExperience(nowNanos, target, experience));
-  }
-
   /**
    * Takes in that another entry instance has begun requests at a target.
    *
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
@@ -58,9 +58,6 @@
   private final WaitingLine line = new WaitingLine();
   private final MoveEvidence evidence = new MoveEvidence();
 
-  /** Geometric mean of the answers' times by route, whatever the slowness of their targets. */
-  private final Map<RouteName, Double> usualPaceNanos = new HashMap<>();
-
   /** Mean of the answers' times by route, at a target that works as usual. */
   private final Map<RouteName, Double> usualNanos = new HashMap<>();
 
@@ -118,27 +115,6 @@
     find(target).ifPresent(each -> each.noteReport(reportNanos, report));
   }
 
-  void noteExperience(long nowNanos, TargetId target, Experience experience) {
-    find(target)
-        .ifPresent(
-            each -> {
-              each.learn(nowNanos, experience);
-              each.trust().heard(experience.failed());
-            });
-  }
-
-  private Experience experience(DispatchRequest request, Completion completion) {
-    double usual = usualPaceNanos.getOrDefault(request.route(), 0.0);
-    boolean answered = completion.outcome() == Outcome.SUCCESS;
-    boolean failed =
-        switch (completion.outcome()) {
-          case FAILURE, CONNECTION_LOST, CONNECT_FAILED -> true;
-          default -> false;
-        };
-    double pace = usual > 0 ? completion.headLatencyNanos() / usual : 1;
-    return new Experience(pace, answered, failed);
-  }
-
   void noteBegun(long nowNanos, TargetId target, int requests) {
     find(target).ifPresent(each -> each.noteBegun(nowNanos, requests));
   }
@@ -159,7 +135,7 @@
           new Decision.Refused(request.attemptId(), ErrorKind.NO_TARGET, NO_TARGET_RETRY_MS);
       case Placing.Possible possible when !canAnswerInTime(nowNanos, request, possible.target()) ->
           overloaded(request);
-      case Placing.Possible possible when mayGo(nowNanos, request, possible) ->
+      case Placing.Possible possible when mayGo(nowNanos, possible) ->
           assign(nowNanos, request, possible);
       case Placing.Possible possible when !request.hedge() && line.add(nowNanos, request) ->
           new Decision.Queued(request.attemptId());
@@ -168,10 +144,8 @@
   }
 
   /** Returns whether a request goes now: there is room, and nobody has waited for it longer. */
-  private boolean mayGo(long nowNanos, DispatchRequest request, Placing.Possible possible) {
-    return line.isEmpty()
-        && hasRoom(nowNanos, possible.target())
-        && (request.hedge() || canMeetGoal(nowNanos, request, possible.target()));
+  private boolean mayGo(long nowNanos, Placing.Possible possible) {
+    return line.isEmpty() && hasRoom(nowNanos, possible.target());
   }
 
   /** What the targets allow for a request. */
@@ -220,17 +194,13 @@
     return new Decision.Refused(request.attemptId(), ErrorKind.OVERLOADED, spreadMs);
   }
 
-  /**
-   * Lets waiting requests go where there is room now, and refuses those that have waited long
-   * enough, unless a target has room that would answer late.
-   */
+  /** Lets waiting requests go where there is room, and refuses those that have waited enough. */
   List<Decision> serveWaiting(long nowNanos) {
     List<Decision> decisions = new ArrayList<>();
     for (WaitingLine.Waiting each : line.inOrder()) {
       boolean goes =
           place(nowNanos, each.request()) instanceof Placing.Possible possible
-              && hasRoom(nowNanos, possible.target())
-              && canMeetGoal(nowNanos, each.request(), possible.target());
+              && hasRoom(nowNanos, possible.target());
       if (!goes) {
         break;
       }
@@ -264,10 +234,6 @@
     return target.outstanding(nowNanos, averageOthers) + 1 <= most + ROUNDING;
   }
 
-  private boolean canMeetGoal(long nowNanos, DispatchRequest request, PlacedTarget target) {
-    return predictedNanos(nowNanos, request, target) <= request.goalNanos() - nowNanos;
-  }
-
   /** Returns whether a version may serve what the chosen one cannot. */
   private boolean isProven(String version) {
     return move.map(each -> isProvenBy(each, version)).orElse(false);
@@ -331,9 +297,9 @@
         .ifPresent(
             target -> {
               note(nowNanos, request, target, completion);
-              Experience experience = experience(request, completion);
-              target.learn(nowNanos, experience);
-              context.loads().ended(target.id(), completion.report(), experience);
+              completion
+                  .report()
+                  .ifPresent(report -> context.loads().reported(target.id(), report));
               target.end(
                   nowNanos, completion, terms.getColdStartMs() * NANOS_PER_MS, coldIntervalNanos());
             });
@@ -353,10 +319,6 @@
             });
     evidence.note(move, target.version().value(), completion, slowNanos(nowNanos, request, target));
     if (completion.outcome() == Outcome.SUCCESS) {
-      usualPaceNanos.merge(
-          request.route(),
-          (double) completion.headLatencyNanos(),
-          (before, now) -> before * Math.exp(AVERAGE_WEIGHT * Math.log(now / before)));
       double slowness = target.slowness(nowNanos, averageSlowness);
       double usual = completion.headLatencyNanos() / Math.max(1, slowness);
       usualNanos.merge(
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/TargetTrust.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/TargetTrust.java
@@ -59,11 +59,6 @@
     }
   }
 
-  /** Takes in how an attempt of another entry instance ended, which may not hold for this one. */
-  void heard(boolean failed) {
-    failureShare += FAILURE_SHARE_WEIGHT / 2 * ((failed ? 1 : 0) - failureShare);
-  }
-
   private void restore(double failed) {
     failuresInRow = 0;
     paused = false;
