The goal decides who waits where a report is fresh; entries tell the age of a move

Without a fresh report the prediction is an average and waiting gains nothing.

Entries now state how long they know it.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/MoveRunner.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/MoveRunner.java
@@ -33,7 +33,7 @@
   void observe(VersionEvidence evidence) {
     MoveCourse course = courses.get(evidence.getService());
     if (course != null && course.number() == evidence.getMove()) {
-      course.observe(evidence);
+      course.observe(System.nanoTime(), evidence);
     }
   }
 
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -196,7 +196,7 @@
     long now = System.nanoTime();
     feed.tick(now);
     dispatcher
-        .takeEvidence()
+        .takeEvidence(now)
         .forEach(each -> feed.sendToAll(EntryFrame.newBuilder().setEvidence(each).build()));
     poison
         .takeChanges(now)
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/MoveCourse.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/MoveCourse.java
@@ -34,7 +34,7 @@
   private static final long NANOS_PER_MS = 1_000_000;
 
   private final long number;
-  private final long startNanos;
+  private long startNanos;
   private final long allowedNanos;
   private long nextProposalNanos;
   private long answersBefore;
@@ -60,8 +60,15 @@
     return number;
   }
 
-  /** Takes what an entry instance has seen. */
-  public void observe(VersionEvidence evidence) {
+  /**
+   * Takes what an entry instance has seen. It may know the move for longer than a replica that has
+   * only begun to lead.
+   *
+   * @param nowNanos the present time
+   * @param evidence what it has seen
+   */
+  public void observe(long nowNanos, VersionEvidence evidence) {
+    startNanos = Math.min(startNanos, nowNanos - evidence.getAgeMs() * NANOS_PER_MS);
     answersBefore += evidence.getBefore().getAnswers();
     badBefore += bad(evidence.getBefore());
     answersAfter += evidence.getAfter().getAnswers();
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/MoveEvidence.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/MoveEvidence.java
@@ -15,24 +15,34 @@
   /** The same for an attempt that was given up before it was answered. */
   private static final double SLOW_FACTOR_GIVEN_UP = 2;
 
+  private static final long NANOS_PER_MS = 1_000_000;
+
   private VersionCounts.Builder before = VersionCounts.newBuilder();
   private VersionCounts.Builder after = VersionCounts.newBuilder();
   private long moveNumber;
+  private long knownSinceNanos;
 
   /**
    * Counts the end of an attempt.
    *
+   * @param nowNanos the present time
    * @param move the latest move of the service
    * @param version the version that served the attempt
    * @param completion how it ended
    * @param usualNanos the time that an answer usually takes there now
    */
-  void note(Optional<ServiceMove> move, String version, Completion completion, double usualNanos) {
+  void note(
+      long nowNanos,
+      Optional<ServiceMove> move,
+      String version,
+      Completion completion,
+      double usualNanos) {
     if (move.isEmpty() || move.get().getState() != ServiceMove.State.RUNNING) {
       return;
     }
     if (moveNumber != move.get().getNumber()) {
       moveNumber = move.get().getNumber();
+      knownSinceNanos = nowNanos;
       before = VersionCounts.newBuilder();
       after = VersionCounts.newBuilder();
     }
@@ -64,7 +74,7 @@
   }
 
   /** Returns what was counted since the last call, if anything was. */
-  Optional<VersionEvidence> take(Optional<ServiceMove> move) {
+  Optional<VersionEvidence> take(long nowNanos, Optional<ServiceMove> move) {
     if (move.isEmpty() || before.getAnswers() + after.getAnswers() == 0) {
       return Optional.empty();
     }
@@ -74,6 +84,7 @@
             .setMove(moveNumber)
             .setBefore(before)
             .setAfter(after)
+            .setAgeMs((nowNanos - knownSinceNanos) / NANOS_PER_MS)
             .build();
     before = VersionCounts.newBuilder();
     after = VersionCounts.newBuilder();
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementDispatcher.java
@@ -146,10 +146,14 @@
         .toList();
   }
 
-  /** Returns what was seen of the moves under way since the last call. */
-  public List<VersionEvidence> takeEvidence() {
+  /**
+   * Returns what was seen of the moves under way since the last call.
+   *
+   * @param nowNanos the present time
+   */
+  public List<VersionEvidence> takeEvidence(long nowNanos) {
     return services.values().stream()
-        .map(ServicePlacement::takeEvidence)
+        .map(each -> each.takeEvidence(nowNanos))
         .flatMap(Optional::stream)
         .toList();
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
@@ -47,6 +47,9 @@
   /** Estimates of what others have under way are fractions; this much counts as nothing. */
   private static final double ROUNDING = 0.5;
 
+  /** Age up to which a report says more than the average of the service. */
+  private static final long FRESH_REPORT_MS = 200;
+
   private static final long NANOS_PER_MS = 1_000_000;
   private static final long DEFAULT_COLD_MS = 3_000;
   private static final double DEFAULT_COLD_PER_SECOND = 4;
@@ -135,7 +138,7 @@
           new Decision.Refused(request.attemptId(), ErrorKind.NO_TARGET, NO_TARGET_RETRY_MS);
       case Placing.Possible possible when !canAnswerInTime(nowNanos, request, possible.target()) ->
           overloaded(request);
-      case Placing.Possible possible when mayGo(nowNanos, possible) ->
+      case Placing.Possible possible when mayGo(nowNanos, request, possible) ->
           assign(nowNanos, request, possible);
       case Placing.Possible possible when !request.hedge() && line.add(nowNanos, request) ->
           new Decision.Queued(request.attemptId());
@@ -144,8 +147,10 @@
   }
 
   /** Returns whether a request goes now: there is room, and nobody has waited for it longer. */
-  private boolean mayGo(long nowNanos, Placing.Possible possible) {
-    return line.isEmpty() && hasRoom(nowNanos, possible.target());
+  private boolean mayGo(long nowNanos, DispatchRequest request, Placing.Possible possible) {
+    return line.isEmpty()
+        && hasRoom(nowNanos, possible.target())
+        && (request.hedge() || canMeetGoal(nowNanos, request, possible.target()));
   }
 
   /** What the targets allow for a request. */
@@ -200,7 +205,8 @@
     for (WaitingLine.Waiting each : line.inOrder()) {
       boolean goes =
           place(nowNanos, each.request()) instanceof Placing.Possible possible
-              && hasRoom(nowNanos, possible.target());
+              && hasRoom(nowNanos, possible.target())
+              && canMeetGoal(nowNanos, each.request(), possible.target());
       if (!goes) {
         break;
       }
@@ -234,6 +240,16 @@
     return target.outstanding(nowNanos, averageOthers) + 1 <= most + ROUNDING;
   }
 
+  /**
+   * Returns whether a target would answer before the response-time goal. Where it has not reported
+   * lately nothing speaks against it.
+   */
+  private boolean canMeetGoal(long nowNanos, DispatchRequest request, PlacedTarget target) {
+    long age = target.reportAgeMs(nowNanos);
+    boolean known = age >= 0 && age < FRESH_REPORT_MS;
+    return !known || predictedNanos(nowNanos, request, target) <= request.goalNanos() - nowNanos;
+  }
+
   /** Returns whether a version may serve what the chosen one cannot. */
   private boolean isProven(String version) {
     return move.map(each -> isProvenBy(each, version)).orElse(false);
@@ -317,7 +333,8 @@
                   Math.max(0, report.inFlight() + report.queued() - target.inFlight() + 1);
               averageOthers += AVERAGE_WEIGHT * (others - averageOthers);
             });
-    evidence.note(move, target.version().value(), completion, slowNanos(nowNanos, request, target));
+    evidence.note(
+        nowNanos, move, target.version().value(), completion, slowNanos(nowNanos, request, target));
     if (completion.outcome() == Outcome.SUCCESS) {
       double slowness = target.slowness(nowNanos, averageSlowness);
       double usual = completion.headLatencyNanos() / Math.max(1, slowness);
@@ -333,8 +350,8 @@
   }
 
   /** Returns what was seen of the move under way since the last call, if anything was. */
-  Optional<VersionEvidence> takeEvidence() {
-    return evidence.take(move);
+  Optional<VersionEvidence> takeEvidence(long nowNanos) {
+    return evidence.take(nowNanos, move);
   }
 
   /** Returns the number of targets that take requests. */
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/MoveCourseTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/MoveCourseTest.java
@@ -25,6 +25,7 @@
 
   private void observe(int before, int badBefore, int after, int badAfter) {
     course.observe(
+        SECOND,
         VersionEvidence.newBuilder()
             .setService("alpha")
             .setMove(1)
@@ -42,6 +43,22 @@
     assertThat(done.getState()).isEqualTo(ServiceMove.State.DONE);
   }
 
+  @Test
+  void replicaThatBeginsToLeadLearnsTheAgeOfTheMoveFromEntries() {
+    MoveCourse later = new MoveCourse(20 * SECOND, MOVE);
+    later.observe(
+        21 * SECOND,
+        VersionEvidence.newBuilder()
+            .setMove(1)
+            .setAfter(VersionCounts.newBuilder().setAnswers(9))
+            .setAgeMs(10_500)
+            .build());
+
+    assertThat(later.next(21 * SECOND, MOVE)).isEmpty();
+    assertThat(later.next(22 * SECOND, MOVE).orElseThrow().getState())
+        .isEqualTo(ServiceMove.State.DONE);
+  }
+
   @Test
   void failingVersionIsRolledBackAtOnce() {
     observe(200, 2, 12, 6);
