--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
@@ -284,6 +284,13 @@
     }
   }
 
+  /** Returns the number of replicas that decide, or 0 if this one is not among them. */
+  public int voters() {
+    List<ReplicaMember> voters = host.replica().membership().getVotersList();
+    boolean decides = voters.stream().anyMatch(each -> each.getId().equals(journal.replicaId()));
+    return decides ? voters.size() : 0;
+  }
+
   /** Adds addresses of control replicas that the settings name. */
   public void addSeeds(List<Endpoint> seeds) {
     host.addAddresses(seeds);
