--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -48,7 +48,7 @@
  *
  * <pre>{@code
  * RoutedEntry entry = RoutedEntry.start(group, settings, protocols);
- * entry.leave();
+ * entry.leave(6_000);
  * }</pre>
  *
  * @since 0.1.0
@@ -70,6 +70,15 @@
   /** Number of entry instances that is assumed until a control replica has told it. */
   private static final int UNKNOWN_FLEET_SIZE = 100;
 
+  /** Time for which new callers still arrive: two readiness checks a second apart, and a margin. */
+  private static final long HANDOVER_MS = 2_500;
+
+  /** Part of the time allowed for the end of the process that is left unused. */
+  private static final long END_MARGIN_MS = 800;
+
+  private static final long LEAVE_POLL_MS = 50;
+  private static final long NANOS_PER_MS = 1_000_000;
+
   /** Targets that must have crashed before a request is refused. */
   private static final int CRASHES_UNTIL_REFUSAL = 3;
 
@@ -229,17 +238,23 @@
         .anyMatch(each -> dispatcher.readyTargets(each.getName()) > 0);
   }
 
-  /** Becomes unready and lets answers announce that their connection closes. */
-  public void leave() {
+  /**
+   * Becomes unready, lets answers announce that their connection closes, and waits for the requests
+   * under way. Must not be called on the event loop.
+   *
+   * @param allowedMs time after which the process is ended by force, in milliseconds
+   */
+  public void leave(long allowedMs) throws InterruptedException {
+    final long endNanos = System.nanoTime() + (allowedMs - END_MARGIN_MS) * NANOS_PER_MS;
     leaving = true;
     callers.announceLeave();
     LOG.info(
         "entry-leaving", "instance", settings.instance(), "under_way", callers.exchangesUnderWay());
-  }
-
-  /** Closes the connections that serve no request. */
-  public void closeIdle() {
+    Thread.sleep(Math.min(HANDOVER_MS, allowedMs / 2));
     callers.drain();
+    while (callers.exchangesUnderWay() > 0 && System.nanoTime() - endNanos < 0) {
+      Thread.sleep(LEAVE_POLL_MS);
+    }
   }
 
   /** Returns the number of requests that are being served. */
