The waiting line is taken back; a stopping entry instance waits until nothing is on its way

The entry instance now stops listening and ends after 400 ms without a request.

Keeping 0.8 of three slots leaves two. Replicas log the connections to each other and changes of the membership.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
@@ -27,6 +27,7 @@
 import org.waxwingbeam.wire.feed.EntryFrame;
 import org.waxwingbeam.wire.feed.TargetRecord;
 import org.waxwingbeam.wire.replica.Command;
+import org.waxwingbeam.wire.replica.Membership;
 import org.waxwingbeam.wire.replica.ReplicaMember;
 import org.waxwingbeam.wire.routing.RoutingChange;
 import org.waxwingbeam.wire.routing.RoutingState;
@@ -64,6 +65,7 @@
   private final TargetDirectory targets = new TargetDirectory();
   private final Runnable onFailure;
   private long publishedRevision;
+  private Membership loggedMembership = Membership.getDefaultInstance();
 
   /**
    * States where a replica runs.
@@ -266,6 +268,27 @@
     }
   }
 
+  private void logMembership() {
+    Membership present = host.replica().membership();
+    if (!present.equals(loggedMembership)) {
+      loggedMembership = present;
+      LOG.info(
+          "membership-changed",
+          "instance",
+          settings.instance(),
+          "replica",
+          journal.replicaId(),
+          "voters",
+          present.getVotersList().stream().map(RoutedControl::describe).toList(),
+          "learners",
+          present.getLearnersList().stream().map(RoutedControl::describe).toList());
+    }
+  }
+
+  private static String describe(ReplicaMember member) {
+    return "%s@%s".formatted(member.getId(), member.getHost());
+  }
+
   private void publishRouting() {
     RoutingState present = state.routing().state();
     if (present.getRevision() > publishedRevision) {
@@ -352,6 +375,7 @@
 
     @Override
     public void ticked(long nowNanos) {
+      logMembership();
       feed.tick(nowNanos);
       if (host.holdsLease(nowNanos)) {
         moves.tick(nowNanos);
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -61,9 +61,6 @@
   /** Pause between two looks at the connections to control replicas. */
   private static final long FEED_TICK_MS = 100;
 
-  /** Pause between two looks at the requests that wait for room. */
-  private static final long WAITING_TICK_MS = 10;
-
   /** Time after which a connection to a target that has not opened is given up. */
   private static final int CONNECT_TIMEOUT_MS = 300;
 
@@ -77,6 +74,10 @@
   private static final long END_MARGIN_MS = 800;
 
   private static final long LEAVE_POLL_MS = 50;
+
+  /** Time without a request after which none is on its way any more. */
+  private static final long QUIET_MS = 400;
+
   private static final long NANOS_PER_MS = 1_000_000;
 
   /** Targets that must have crashed before a request is refused. */
@@ -99,7 +100,6 @@
   private final PoisonList poison = new PoisonList(CRASHES_UNTIL_REFUSAL);
   private final SplittableRandom random = new SplittableRandom();
   private final PlacementDispatcher dispatcher;
-  private final DispatchGate gate;
   private final FeedClient feed;
   private final LoadExchange loads;
   private final CallerServer callers;
@@ -153,10 +153,9 @@
             .build();
     loads = LoadExchange.start(group, settings.loads(), this::receive);
     feed = new FeedClient(group.next(), greeting, settings.replicas(), new FeedListener());
-    gate = new DispatchGate(dispatcher, System::nanoTime);
     ExchangeContext context =
         new ExchangeContext(
-            gate,
+            new DispatchGate(dispatcher, System::nanoTime),
             new TargetConnections(protocols.target(), CONNECT_TIMEOUT_MS),
             (method, host, uri) -> routes.classify(method, host, uri),
             protocols,
@@ -184,10 +183,6 @@
       EventLoopGroup group, Settings settings, ExchangeContext.Protocols protocols) {
     RoutedEntry entry = new RoutedEntry(group, settings, protocols);
     group.next().scheduleAtFixedRate(entry::tick, 0, FEED_TICK_MS, TimeUnit.MILLISECONDS);
-    group
-        .next()
-        .scheduleAtFixedRate(
-            entry.gate::tick, WAITING_TICK_MS, WAITING_TICK_MS, TimeUnit.MILLISECONDS);
     LOG.info(
         "entry-started",
         "instance",
@@ -251,9 +246,20 @@
     LOG.info(
         "entry-leaving", "instance", settings.instance(), "under_way", callers.exchangesUnderWay());
     Thread.sleep(Math.min(HANDOVER_MS, allowedMs / 2));
+    callers.stopListening();
     callers.drain();
-    while (callers.exchangesUnderWay() > 0 && System.nanoTime() - endNanos < 0) {
+    awaitQuiet(endNanos);
+  }
+
+  /**
+   * Waits until nothing has been served for a while. A single look is not enough: a request that
+   * has arrived is counted only once it has been read.
+   */
+  private void awaitQuiet(long endNanos) throws InterruptedException {
+    long quietMs = 0;
+    while (quietMs < QUIET_MS && System.nanoTime() - endNanos < 0) {
       Thread.sleep(LEAVE_POLL_MS);
+      quietMs = callers.exchangesUnderWay() == 0 ? quietMs + LEAVE_POLL_MS : 0;
     }
   }
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerServer.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerServer.java
@@ -103,6 +103,11 @@
     leaving = true;
   }
 
+  /** Takes no further connection. The open ones are served on. */
+  public void stopListening() {
+    listener.close().syncUninterruptibly();
+  }
+
   /** Stops listening and ends every connection, whatever it serves. */
   @Override
   public void close() {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaLinks.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaLinks.java
@@ -25,6 +25,7 @@
 import org.waxwingbeam.control.net.Channels;
 import org.waxwingbeam.control.net.Keepalive;
 import org.waxwingbeam.control.net.MessageFraming;
+import org.waxwingbeam.logging.EventLog;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.wire.replica.ReplicaFrame;
 import org.waxwingbeam.wire.replica.ReplicaHello;
@@ -38,6 +39,7 @@
  */
 public final class ReplicaLinks implements AutoCloseable {
   private static final int CONNECT_TIMEOUT_MS = 500;
+  private static final EventLog LOG = new EventLog(ReplicaLinks.class);
 
   private final EventLoopGroup group;
   private final String token;
@@ -127,6 +129,7 @@
   private void lost(Endpoint address, Channel channel) {
     outbound.remove(address.toString());
     channelById.values().removeIf(channel::equals);
+    LOG.info("replica-link-lost", "at", address);
   }
 
   private void sendHello(Channel channel) {
@@ -187,7 +190,15 @@
       boolean first = !authenticated;
       authenticated = true;
       if (isOutbound(channel)) {
-        channelById.put(hello.getMember().getId(), channel);
+        boolean known = channel.equals(channelById.put(hello.getMember().getId(), channel));
+        if (!known) {
+          LOG.info(
+              "replica-linked",
+              "replica",
+              hello.getMember().getId(),
+              "at",
+              channel.remoteAddress());
+        }
       } else if (first) {
         sendHello(channel);
       }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementDispatcher.java
@@ -103,7 +103,7 @@
       return new Decision.Refused(request.attemptId(), ErrorKind.DEADLINE_BEFORE_START, 0);
     }
     Decision decision = service(request.service().value()).request(nowNanos, request);
-    if (!(decision instanceof Decision.Refused)) {
+    if (decision instanceof Decision.Assigned) {
       underWay.put(request.attemptId(), request);
     }
     return decision;
@@ -115,35 +115,18 @@
     if (request == null) {
       return List.of();
     }
-    ServicePlacement placement = service(request.service().value());
-    placement.complete(nowNanos, request, completion);
-    return serveWaiting(nowNanos, placement);
-  }
-
-  private List<Decision> serveWaiting(long nowNanos, ServicePlacement placement) {
-    if (!placement.isWaiting()) {
-      return List.of();
-    }
-    List<Decision> decisions = placement.serveWaiting(nowNanos);
-    decisions.stream()
-        .filter(Decision.Refused.class::isInstance)
-        .forEach(each -> underWay.remove(each.attemptId()));
-    return decisions;
+    service(request.service().value()).complete(nowNanos, request, completion);
+    return List.of();
   }
 
   @Override
   public void cancel(long nowNanos, long attemptId) {
-    DispatchRequest request = underWay.remove(attemptId);
-    if (request != null) {
-      service(request.service().value()).cancel(attemptId);
-    }
+    // No attempt waits here.
   }
 
   @Override
   public List<Decision> tick(long nowNanos) {
-    return services.values().stream()
-        .flatMap(each -> serveWaiting(nowNanos, each).stream())
-        .toList();
+    return List.of();
   }
 
   /**
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
@@ -1,6 +1,5 @@
 package org.waxwingbeam.target.placement;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -41,15 +40,9 @@
   /** Weight of the newest answer in averages over the service. */
   private static final double AVERAGE_WEIGHT = 0.05;
 
-  /** Part of a target's slots that is used: many work more slowly when they are nearly full. */
-  private static final double USABLE_SLOTS = 0.8;
-
   /** Estimates of what others have under way are fractions; this much counts as nothing. */
   private static final double ROUNDING = 0.5;
 
-  /** Age up to which a report says more than the average of the service. */
-  private static final long FRESH_REPORT_MS = 200;
-
   private static final long NANOS_PER_MS = 1_000_000;
   private static final long DEFAULT_COLD_MS = 3_000;
   private static final double DEFAULT_COLD_PER_SECOND = 4;
@@ -58,7 +51,6 @@
   private final RandomGenerator random;
   private final VersionChoice versions;
   private final Map<String, PlacedTarget> targets = new HashMap<>();
-  private final WaitingLine line = new WaitingLine();
   private final MoveEvidence evidence = new MoveEvidence();
 
   /** Mean of the answers' times by route, at a target that works as usual. */
@@ -130,27 +122,21 @@
     return ColdPacer.intervalNanos(terms.getColdPerSecond(), context.fleetSize().getAsInt());
   }
 
-  /** Decides on a request: sends it, lets it wait for room, or refuses it. */
+  /** Decides on a request: sends it, or refuses what no target can answer in time. */
   Decision request(long nowNanos, DispatchRequest request) {
     Placing placing = place(nowNanos, request);
     return switch (placing) {
       case Placing.Impossible impossible ->
           new Decision.Refused(request.attemptId(), ErrorKind.NO_TARGET, NO_TARGET_RETRY_MS);
-      case Placing.Possible possible when !canAnswerInTime(nowNanos, request, possible.target()) ->
-          overloaded(request);
-      case Placing.Possible possible when mayGo(nowNanos, request, possible) ->
+      case Placing.Possible possible when mayGo(nowNanos, request, possible.target()) ->
           assign(nowNanos, request, possible);
-      case Placing.Possible possible when !request.hedge() && line.add(nowNanos, request) ->
-          new Decision.Queued(request.attemptId());
       case Placing.Possible possible -> overloaded(request);
     };
   }
 
-  /** Returns whether a request goes now: there is room, and nobody has waited for it longer. */
-  private boolean mayGo(long nowNanos, DispatchRequest request, Placing.Possible possible) {
-    return line.isEmpty()
-        && hasRoom(nowNanos, possible.target())
-        && (request.hedge() || canMeetGoal(nowNanos, request, possible.target()));
+  private boolean mayGo(long nowNanos, DispatchRequest request, PlacedTarget target) {
+    return canAnswerInTime(nowNanos, request, target)
+        && (!request.hedge() || hasFreeSlot(nowNanos, target));
   }
 
   /** What the targets allow for a request. */
@@ -199,55 +185,8 @@
     return new Decision.Refused(request.attemptId(), ErrorKind.OVERLOADED, spreadMs);
   }
 
-  /** Lets waiting requests go where there is room, and refuses those that have waited enough. */
-  List<Decision> serveWaiting(long nowNanos) {
-    List<Decision> decisions = new ArrayList<>();
-    for (WaitingLine.Waiting each : line.inOrder()) {
-      boolean goes =
-          place(nowNanos, each.request()) instanceof Placing.Possible possible
-              && hasRoom(nowNanos, possible.target())
-              && canMeetGoal(nowNanos, each.request(), possible.target());
-      if (!goes) {
-        break;
-      }
-      line.depart(nowNanos, each);
-      decisions.add(decideNow(nowNanos, each.request()));
-    }
-    line.takeOverdue(nowNanos).forEach(each -> decisions.add(decideNow(nowNanos, each.request())));
-    return decisions;
-  }
-
-  private Decision decideNow(long nowNanos, DispatchRequest request) {
-    return place(nowNanos, request) instanceof Placing.Possible possible
-            && hasRoom(nowNanos, possible.target())
-            && canAnswerInTime(nowNanos, request, possible.target())
-        ? assign(nowNanos, request, possible)
-        : overloaded(request);
-  }
-
-  /** Forgets a request that waits. */
-  void cancel(long attemptId) {
-    line.remove(attemptId);
-  }
-
-  boolean isWaiting() {
-    return !line.isEmpty();
-  }
-
-  /** Returns whether one more request would leave the target below the knee of its throughput. */
-  private boolean hasRoom(long nowNanos, PlacedTarget target) {
-    double most = Math.max(1, Math.floor(USABLE_SLOTS * target.slots()));
-    return target.outstanding(nowNanos, averageOthers) + 1 <= most + ROUNDING;
-  }
-
-  /**
-   * Returns whether a target would answer before the response-time goal. Where it has not reported
-   * lately nothing speaks against it.
-   */
-  private boolean canMeetGoal(long nowNanos, DispatchRequest request, PlacedTarget target) {
-    long age = target.reportAgeMs(nowNanos);
-    boolean known = age >= 0 && age < FRESH_REPORT_MS;
-    return !known || predictedNanos(nowNanos, request, target) <= request.goalNanos() - nowNanos;
+  private boolean hasFreeSlot(long nowNanos, PlacedTarget target) {
+    return target.outstanding(nowNanos, averageOthers) + 1 <= target.slots() + ROUNDING;
   }
 
   /** Returns whether a version may serve what the chosen one cannot. */
