--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaLinks.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaLinks.java
@@ -9,9 +9,12 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
@@ -47,6 +50,7 @@
   private final Consumer<ReplicaHello> helloReceiver;
   private final Consumer<ReplicaMessage> messageReceiver;
   private final Channel server;
+  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final Map<String, Outbound> outbound = new TreeMap<>();
   private final Map<String, Channel> channelById = new HashMap<>();
 
@@ -157,11 +161,13 @@
   @Override
   public void close() {
     server.close().syncUninterruptibly();
+    connections.close().syncUninterruptibly();
   }
 
   private final class Initializer extends ChannelInitializer<SocketChannel> {
     @Override
     protected void initChannel(SocketChannel channel) {
+      connections.add(channel);
       MessageFraming.addTo(channel.pipeline(), ReplicaFrame.getDefaultInstance());
       channel.pipeline().addLast(new Handler());
     }
