--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -16,6 +16,7 @@
 import org.waxwingbeam.caller.net.RequestLog;
 import org.waxwingbeam.caller.net.RetryBudgets;
 import org.waxwingbeam.control.net.FeedClient;
+import org.waxwingbeam.control.net.LoadPeerLists;
 import org.waxwingbeam.logging.EventLog;
 import org.waxwingbeam.metrics.EntryMetrics;
 import org.waxwingbeam.model.DataCentreName;
@@ -28,8 +29,10 @@
 import org.waxwingbeam.target.LoadReport;
 import org.waxwingbeam.target.TargetDirectory;
 import org.waxwingbeam.target.net.TargetConnections;
+import org.waxwingbeam.target.net.TargetProber;
 import org.waxwingbeam.target.placement.PlacementContext;
 import org.waxwingbeam.target.placement.PlacementDispatcher;
+import org.waxwingbeam.target.placement.ProbeOrder;
 import org.waxwingbeam.target.placement.VersionStops;
 import org.waxwingbeam.wire.feed.ControlFrame;
 import org.waxwingbeam.wire.feed.EntryFrame;
@@ -61,6 +64,9 @@
   /** Pause between two looks at the connections to control replicas. */
   private static final long FEED_TICK_MS = 100;
 
+  /** Pause between two looks at which targets' status is to be checked. */
+  private static final long PROBE_TICK_MS = 20;
+
   /** Time after which a connection to a target that has not opened is given up. */
   private static final int CONNECT_TIMEOUT_MS = 300;
 
@@ -102,6 +108,9 @@
   private final PlacementDispatcher dispatcher;
   private final FeedClient feed;
   private final LoadExchange loads;
+  private final LoadPeerLists peers;
+  private final TargetConnections connections;
+  private final TargetProber prober;
   private final CallerServer callers;
   private RoutingState routing = RoutingState.getDefaultInstance();
   private RouteTable routes = new RouteTable();
@@ -144,6 +153,10 @@
                 random,
                 new LoadNews(),
                 new VersionStops()));
+    loads = LoadExchange.start(group, settings.loads(), this::receive);
+    peers = new LoadPeerLists();
+    connections = new TargetConnections(protocols.target(), CONNECT_TIMEOUT_MS);
+    prober = new TargetProber(connections, protocols.target(), group.next());
     EntryGreeting greeting =
         EntryGreeting.newBuilder()
             .setName(settings.instance().value())
@@ -151,12 +164,11 @@
             .setBootId(bootId)
             .setLoadsAddress(settings.loads().toString())
             .build();
-    loads = LoadExchange.start(group, settings.loads(), this::receive);
     feed = new FeedClient(group.next(), greeting, settings.replicas(), new FeedListener());
     ExchangeContext context =
         new ExchangeContext(
             new DispatchGate(dispatcher, System::nanoTime),
-            new TargetConnections(protocols.target(), CONNECT_TIMEOUT_MS),
+            connections,
             (method, host, uri) -> routes.classify(method, host, uri),
             protocols,
             Optional::empty,
@@ -183,6 +195,7 @@
       EventLoopGroup group, Settings settings, ExchangeContext.Protocols protocols) {
     RoutedEntry entry = new RoutedEntry(group, settings, protocols);
     group.next().scheduleAtFixedRate(entry::tick, 0, FEED_TICK_MS, TimeUnit.MILLISECONDS);
+    group.next().scheduleAtFixedRate(entry::probe, 0, PROBE_TICK_MS, TimeUnit.MILLISECONDS);
     LOG.info(
         "entry-started",
         "instance",
@@ -210,6 +223,19 @@
                     EntryFrame.newBuilder().setCrash(CrashSightings.encode(each)).build()));
   }
 
+  private void probe() {
+    peers
+        .duty()
+        .ifPresent(duty -> dispatcher.takeProbes(System.nanoTime(), duty).forEach(this::sendProbe));
+  }
+
+  private void sendProbe(ProbeOrder order) {
+    prober.probe(
+        order,
+        connectionShare(order.connectionLimit()),
+        result -> dispatcher.noteProbe(System.nanoTime(), order, result));
+  }
+
   private int fleetSize() {
     return feed.fleetSize().orElse(UNKNOWN_FLEET_SIZE);
   }
@@ -356,6 +382,9 @@
               if (each.getSlots() > 0) {
                 dispatcher.noteReport(now, target, LoadNews.report(each));
               }
+              if (each.getColdLeftMs() > 0) {
+                dispatcher.noteCold(now, target, each.getColdLeftMs());
+              }
               if (each.getBegun() > 0) {
                 dispatcher.noteBegun(now, target, each.getBegun());
               }
@@ -371,20 +400,22 @@
 
     @Override
     public void begun(TargetId target) {
-      loads.send(
-          TargetLoad.newBuilder()
-              .setHost(target.host())
-              .setPort(target.port())
-              .setBegun(1)
-              .build());
+      loads.send(about(target).setBegun(1).build());
+    }
+
+    @Override
+    public void cold(TargetId target, int coldLeftMs) {
+      loads.send(about(target).setColdLeftMs(coldLeftMs).build());
+    }
+
+    private static TargetLoad.Builder about(TargetId target) {
+      return TargetLoad.newBuilder().setHost(target.host()).setPort(target.port());
     }
 
     @Override
     public void reported(TargetId target, LoadReport report) {
       loads.send(
-          TargetLoad.newBuilder()
-              .setHost(target.host())
-              .setPort(target.port())
+          about(target)
               .setRunning(report.inFlight())
               .setWaiting(report.queued())
               .setSlots(report.slots())
@@ -396,11 +427,14 @@
   /** Takes what control replicas tell. */
   private final class FeedListener implements FeedClient.Listener {
     @Override
-    public void receive(ControlFrame frame) {
+    public void receive(Endpoint replica, ControlFrame frame) {
       switch (frame.getKindCase()) {
         case ROUTING -> apply(frame.getRouting());
         case TARGET -> applyTarget(frame.getTarget());
-        case LOAD_PEERS -> loads.sendTo(frame.getLoadPeers().getAddressesList());
+        case LOAD_PEERS -> {
+          peers.put(replica, frame.getLoadPeers());
+          loads.sendTo(peers.addresses());
+        }
         case CRASH -> poison.merge(System.nanoTime(), CrashSightings.decode(frame.getCrash()));
         default -> {}
       }
@@ -410,5 +444,10 @@
     public void connected(int replicas) {
       LOG.info("replicas-connected", "instance", settings.instance(), "replicas", replicas);
     }
+
+    @Override
+    public void lost(Endpoint replica) {
+      peers.remove(replica);
+    }
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedClient.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedClient.java
@@ -63,11 +63,18 @@
 
   /** Takes what control replicas tell. */
   public interface Listener {
-    /** Takes a frame other than a pulse. */
-    void receive(ControlFrame frame);
+    /**
+     * Takes a frame other than a pulse.
+     *
+     * @param replica the replica that sent it
+     */
+    void receive(Endpoint replica, ControlFrame frame);
 
     /** Called when the number of connected replicas has changed. */
     void connected(int replicas);
+
+    /** Called when the connection to a replica has ended. */
+    void lost(Endpoint replica);
   }
 
   /**
@@ -106,14 +113,6 @@
     links.values().forEach(each -> each.send(frame));
   }
 
-  /** Sends a frame to one connected replica, if there is any. */
-  public void sendToOne(EntryFrame frame) {
-    links.values().stream()
-        .filter(each -> each.channel != null)
-        .findFirst()
-        .ifPresent(each -> each.send(frame));
-  }
-
   /** Lets time pass: connects, sends pulses, and gives up replicas that have fallen silent. */
   public void tick(long nowNanos) {
     List.copyOf(links.values()).forEach(each -> each.tick(nowNanos));
@@ -226,13 +225,14 @@
       retryNanos = Math.min(MAX_RETRY_NANOS, retryNanos * 2);
       LOG.warn("replica-lost", "replica", address, "connected", FeedClient.this.connected());
       listener.connected(FeedClient.this.connected());
+      listener.lost(address);
     }
 
     private void receive(ControlFrame frame) {
       heardNanos = System.nanoTime();
       retryNanos = FIRST_RETRY_NANOS;
       if (!frame.hasPulse()) {
-        listener.receive(frame);
+        listener.receive(address, frame);
         return;
       }
       notePulse(heardNanos, frame.getPulse());
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedServer.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedServer.java
@@ -137,12 +137,16 @@
   /** Tells each entry instance to which others it sends load reports. */
   private void publishLoadPeers() {
     List<String> all =
-        sessions.stream().map(each -> each.loadsAddress).filter(each -> !each.isEmpty()).toList();
+        sessions.stream()
+            .map(each -> each.loadsAddress)
+            .filter(each -> !each.isEmpty())
+            .sorted()
+            .toList();
     sessions.forEach(
         each -> each.send(ControlFrame.newBuilder().setLoadPeers(peersOf(each, all)).build()));
   }
 
-  /** Returns the entry instances that follow one in the order of arrival, around the end. */
+  /** Returns the entry instances that follow one in the order of addresses, around the end. */
   private static LoadPeers peersOf(Session session, List<String> all) {
     int own = all.indexOf(session.loadsAddress);
     return LoadPeers.newBuilder()
@@ -150,6 +154,8 @@
             IntStream.rangeClosed(1, Math.min(MAX_LOAD_PEERS, all.size() - 1))
                 .mapToObj(step -> all.get((own + step) % all.size()))
                 .toList())
+        .setPosition(Math.max(0, own))
+        .setEntries(all.size())
         .build();
   }
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/NativeTargetDialect.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/NativeTargetDialect.java
@@ -53,6 +53,11 @@
     return false;
   }
 
+  @Override
+  public HealthReport health(HttpHeaders headers) {
+    return new HealthReport(Optional.empty(), load(headers), 0);
+  }
+
   @Override
   public void keepForCaller(HttpHeaders headers) {
     headers.remove(TargetProtocol.LOAD_HEADER);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
@@ -43,7 +43,7 @@
   private Channel channel;
 
   private AnswerReceiver receiver;
-  private String requestId;
+  private Optional<String> requestId = Optional.empty();
   private boolean toHeadRequest;
   private boolean requestWhole;
   private boolean bytesWritten;
@@ -94,6 +94,22 @@
    * @param answerReceiver receives the answer
    */
   public void begin(HttpRequest head, String id, AnswerReceiver answerReceiver) {
+    beginExchange(head, Optional.of(id), answerReceiver);
+  }
+
+  /**
+   * Begins and ends the writing of a status check, which has no id.
+   *
+   * @param head the head of a request without a body
+   * @param answerReceiver receives the answer
+   */
+  public void probe(HttpRequest head, AnswerReceiver answerReceiver) {
+    beginExchange(head, Optional.empty(), answerReceiver);
+    write(LastHttpContent.EMPTY_LAST_CONTENT);
+    flush();
+  }
+
+  private void beginExchange(HttpRequest head, Optional<String> id, AnswerReceiver answerReceiver) {
     receiver = answerReceiver;
     requestId = id;
     toHeadRequest = head.method().equals(HttpMethod.HEAD);
@@ -189,17 +205,27 @@
   }
 
   private boolean isExpected(HttpResponse head) {
-    Optional<String> echoed = dialect.echoedRequestId(head.headers());
-    if (echoed.isEmpty() ? echoesRequestId : !echoed.get().equals(requestId)) {
+    if (!hasExpectedId(head)) {
       return false;
     }
-    echoesRequestId = echoed.isPresent();
     boolean delimited = AnswerFraming.isDelimited(head, toHeadRequest);
     // An answer without a length ends with its connection and is whole unless that is reset.
     reusable &= delimited;
     return bytesWritten && (delimited || dialect.acceptsUndelimited());
   }
 
+  private boolean hasExpectedId(HttpResponse head) {
+    Optional<String> echoed = dialect.echoedRequestId(head.headers());
+    if (requestId.isEmpty()) {
+      return echoed.isEmpty();
+    }
+    if (echoed.isEmpty() ? echoesRequestId : !echoed.equals(requestId)) {
+      return false;
+    }
+    echoesRequestId = echoed.isPresent();
+    return true;
+  }
+
   private void onContent(HttpContent content) {
     if (content.decoderResult().isFailure()) {
       content.release();
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetDialect.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetDialect.java
@@ -30,6 +30,18 @@
   /** Removes what a target says to the system only from an answer's headers. */
   void keepForCaller(HttpHeaders headers);
 
+  /** Returns what the answer to a status check says. */
+  HealthReport health(HttpHeaders headers);
+
+  /**
+   * Holds what the answer to a status check says.
+   *
+   * @param instance the identity of the target that answered, if it states one
+   * @param load its load, if it states one
+   * @param coldLeftMs how much longer it is cold, in milliseconds; 0 if it is warm or says nothing
+   */
+  record HealthReport(Optional<String> instance, Optional<LoadReport> load, int coldLeftMs) {}
+
   /**
    * Describes one sending of a request.
    *
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetProber.java
@@ -0,0 +1,139 @@
+package org.waxwingbeam.target.net;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.waxwingbeam.target.placement.ProbeOrder;
+import org.waxwingbeam.target.placement.ProbeResult;
+
+/**
+ * Sends status checks to targets, on the connections that requests use.
+ *
+ * <p>All methods are called on its event loop.
+ *
+ * <pre>{@code
+ * prober.probe(order, limit, result -> dispatcher.noteProbe(System.nanoTime(), order, result));
+ * }</pre>
+ *
+ * @since 0.1.0
+ */
+// The result of a timer has no reader.
+@SuppressWarnings("FutureReturnValueIgnored")
+public final class TargetProber {
+  /** Time after which an answer would be too old to be of use. */
+  private static final long TIMEOUT_MS = 250;
+
+  private final TargetConnections connections;
+  private final TargetDialect dialect;
+  private final EventLoop loop;
+
+  /**
+   * Creates a prober.
+   *
+   * @param connections the connections that requests use
+   * @param dialect how targets are spoken with
+   * @param loop runs everything
+   */
+  public TargetProber(TargetConnections connections, TargetDialect dialect, EventLoop loop) {
+    this.connections = connections;
+    this.dialect = dialect;
+    this.loop = loop;
+  }
+
+  /**
+   * Sends one status check.
+   *
+   * @param order what to check
+   * @param connectionLimit connections that this process may hold to the target
+   * @param receiver called once with what became of it
+   */
+  public void probe(ProbeOrder order, int connectionLimit, Consumer<ProbeResult> receiver) {
+    Probe probe = new Probe(order, receiver);
+    loop.schedule(probe::giveUp, TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    connections.acquire(order.target(), connectionLimit, loop, probe::onConnection);
+  }
+
+  private static HttpRequest head(ProbeOrder order) {
+    HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, order.path());
+    head.headers().set(HttpHeaderNames.HOST, order.target().toString());
+    return head;
+  }
+
+  /** One status check. */
+  private final class Probe implements AnswerReceiver {
+    private final ProbeOrder order;
+    private final Consumer<ProbeResult> receiver;
+    private Optional<TargetConnection> connection = Optional.empty();
+    private Optional<ProbeResult> result = Optional.empty();
+    private boolean ended;
+
+    Probe(ProbeOrder order, Consumer<ProbeResult> receiver) {
+      this.order = order;
+      this.receiver = receiver;
+    }
+
+    void onConnection(Optional<TargetConnection> found) {
+      if (ended) {
+        found.ifPresent(connections::release);
+      } else if (found.isEmpty()) {
+        end(new ProbeResult.Unreachable());
+      } else {
+        connection = found;
+        found.get().probe(head(order), this);
+      }
+    }
+
+    void giveUp() {
+      if (!ended) {
+        connection.ifPresent(TargetConnection::abort);
+        end(new ProbeResult.Unanswered());
+      }
+    }
+
+    private void end(ProbeResult how) {
+      ended = true;
+      receiver.accept(how);
+    }
+
+    @Override
+    public void onHead(HttpResponse head) {
+      TargetDialect.HealthReport report = dialect.health(head.headers());
+      result =
+          Optional.of(
+              new ProbeResult.Answered(report.instance(), report.load(), report.coldLeftMs()));
+    }
+
+    @Override
+    public void onContent(HttpContent content) {
+      content.release();
+    }
+
+    @Override
+    public void onReadComplete() {}
+
+    @Override
+    public void onComplete() {
+      if (!ended) {
+        end(result.orElseGet(ProbeResult.Unanswered::new));
+      }
+    }
+
+    @Override
+    public void onFailed(ExchangeFailure failure) {
+      if (!ended) {
+        end(new ProbeResult.Unanswered());
+      }
+    }
+
+    @Override
+    public void onWritabilityChanged() {}
+  }
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacedTarget.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacedTarget.java
@@ -23,11 +23,14 @@
   private final LoadEstimate load = new LoadEstimate();
   private final TargetTrust trust = new TargetTrust();
   private final ColdPacer pacer;
+  private final ProbeTimer probes = new ProbeTimer();
+  private final long createdNanos;
   private TargetRecord record;
   private boolean misplaced;
   private int inFlight;
 
-  PlacedTarget(TargetRecord record, RandomGenerator random) {
+  PlacedTarget(long nowNanos, TargetRecord record, RandomGenerator random) {
+    createdNanos = nowNanos;
     this.record = record;
     id = new TargetId(record.getHost(), record.getPort());
     version = new VersionName(record.getVersion());
@@ -54,9 +57,7 @@
   void update(long nowNanos, TargetRecord said, long coldIntervalNanos) {
     misplaced &= said.getStartedMs() == record.getStartedMs();
     record = said;
-    if (said.getColdLeftMs() > 0) {
-      pacer.chill(nowNanos, nowNanos + said.getColdLeftMs() * NANOS_PER_MS, coldIntervalNanos);
-    }
+    noteCold(nowNanos, said.getColdLeftMs(), coldIntervalNanos);
   }
 
   /** Returns whether the target takes new requests, as far as it has said. */
@@ -89,6 +90,7 @@
   void end(long nowNanos, Completion completion, long coldNanos, long coldIntervalNanos) {
     inFlight = Math.max(0, inFlight - 1);
     trust.note(nowNanos, completion.outcome());
+    noteUnreachable(nowNanos, coldNanos, coldIntervalNanos);
     completion.report().ifPresent(report -> load.note(nowNanos, report, inFlight));
     if (completion.outcome() == Outcome.REFUSED_WRONG_TARGET) {
       misplaced = true;
@@ -96,12 +98,64 @@
     if (completion.outcome() == Outcome.REFUSED_OVERLOADED) {
       noteFull(nowNanos, completion);
     }
+  }
+
+  /** A target that could not be reached may have been started anew without saying so yet. */
+  private void noteUnreachable(long nowNanos, long coldNanos, long coldIntervalNanos) {
     if (trust.takeUnreachable()) {
-      // A target that could not be reached may have been started anew without saying so yet.
       pacer.chill(nowNanos, trust.pausedUntilNanos() + coldNanos, coldIntervalNanos);
     }
   }
 
+  /**
+   * Returns whether the status of the target is to be checked now.
+   *
+   * @param rank entry instances that are to check it before this one
+   */
+  boolean isProbeDue(long nowNanos, int rank) {
+    if (trust.isTrialDue(nowNanos)) {
+      return probes.mayCheckAgain(nowNanos);
+    }
+    long ageNanos = load.reportAgeNanos(nowNanos).orElse(nowNanos - createdNanos);
+    return isReady()
+        && trust.isUsable(nowNanos, true)
+        && !pacer.isCold(nowNanos)
+        && probes.isDue(nowNanos, ageNanos, rank);
+  }
+
+  void beginProbe(long nowNanos) {
+    probes.begin(nowNanos);
+  }
+
+  /**
+   * Takes in the end of a status check.
+   *
+   * @param coldNanos how long the target is cold if it has been started anew
+   */
+  void endProbe(long nowNanos, ProbeResult result, long coldNanos, long coldIntervalNanos) {
+    probes.end();
+    switch (result) {
+      case ProbeResult.Answered answered -> {
+        trust.noteReached();
+        misplaced |= answered.instance().filter(each -> !each.equals(record.getId())).isPresent();
+        answered.load().ifPresent(each -> load.note(nowNanos, each, inFlight));
+        noteCold(nowNanos, answered.coldLeftMs(), coldIntervalNanos);
+      }
+      case ProbeResult.Unreachable unreachable -> {
+        trust.note(nowNanos, Outcome.CONNECT_FAILED);
+        noteUnreachable(nowNanos, coldNanos, coldIntervalNanos);
+      }
+      case ProbeResult.Unanswered unanswered -> trust.noteUnanswered(nowNanos);
+    }
+  }
+
+  /** Takes in that the target is cold, if the time is more than 0. */
+  void noteCold(long nowNanos, long coldLeftMs, long coldIntervalNanos) {
+    if (coldLeftMs > 0) {
+      pacer.chill(nowNanos, nowNanos + coldLeftMs * NANOS_PER_MS, coldIntervalNanos);
+    }
+  }
+
   private void noteFull(long nowNanos, Completion completion) {
     int slowness =
         completion
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementContext.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementContext.java
@@ -28,5 +28,12 @@
 
     /** A target has reported its load. */
     void reported(TargetId target, LoadReport report);
+
+    /**
+     * A target has answered a status check that it is cold.
+     *
+     * @param coldLeftMs for how much longer, in milliseconds
+     */
+    void cold(TargetId target, int coldLeftMs);
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementDispatcher.java
@@ -87,6 +87,37 @@
     services.values().forEach(each -> each.noteBegun(nowNanos, target, requests));
   }
 
+  /**
+   * Takes in that another entry instance has found a target cold.
+   *
+   * @param nowNanos the present time
+   */
+  public void noteCold(long nowNanos, TargetId target, int coldLeftMs) {
+    services.values().forEach(each -> each.noteCold(nowNanos, target, coldLeftMs));
+  }
+
+  /**
+   * Returns the status checks that this entry instance is to send now. Each must be followed by a
+   * call of {@link #noteProbe}.
+   *
+   * @param nowNanos the present time
+   * @param duty which targets this entry instance checks first
+   */
+  public List<ProbeOrder> takeProbes(long nowNanos, ProbeDuty duty) {
+    return services.values().stream()
+        .flatMap(each -> each.takeProbes(nowNanos, duty).stream())
+        .toList();
+  }
+
+  /**
+   * Takes in the end of a status check.
+   *
+   * @param nowNanos the present time
+   */
+  public void noteProbe(long nowNanos, ProbeOrder order, ProbeResult result) {
+    services.values().forEach(each -> each.noteProbe(nowNanos, order, result));
+  }
+
   private ServicePlacement service(String name) {
     return services.computeIfAbsent(
         name,
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
@@ -95,7 +95,7 @@
             || !known.version().value().equals(record.getVersion());
     if (moved) {
       targets.values().removeIf(each -> isReplacedBy(each, record));
-      known = new PlacedTarget(record, random);
+      known = new PlacedTarget(nowNanos, record, random);
       targets.put(record.getId(), known);
     }
     known.update(nowNanos, record, coldIntervalNanos());
@@ -114,6 +114,53 @@
     find(target).ifPresent(each -> each.noteBegun(nowNanos, requests));
   }
 
+  void noteCold(long nowNanos, TargetId target, int coldLeftMs) {
+    find(target).ifPresent(each -> each.noteCold(nowNanos, coldLeftMs, coldIntervalNanos()));
+  }
+
+  private boolean hasStatusChecks() {
+    return !terms.getHealthPath().isEmpty();
+  }
+
+  /** Returns the status checks that this entry instance is to send now, and notes them as sent. */
+  List<ProbeOrder> takeProbes(long nowNanos, ProbeDuty duty) {
+    if (!hasStatusChecks()) {
+      return List.of();
+    }
+    List<PlacedTarget> due =
+        targets.values().stream()
+            .filter(each -> !dataCentresOut.contains(each.record().getDataCentre()))
+            .filter(each -> each.isProbeDue(nowNanos, duty.rank(each.record().getId())))
+            .toList();
+    due.forEach(each -> each.beginProbe(nowNanos));
+    return due.stream()
+        .map(
+            each ->
+                new ProbeOrder(
+                    each.id(),
+                    each.record().getId(),
+                    terms.getHealthPath(),
+                    terms.getConnectionLimit()))
+        .toList();
+  }
+
+  /** Takes in the end of a status check. */
+  void noteProbe(long nowNanos, ProbeOrder order, ProbeResult result) {
+    find(order.target())
+        .filter(each -> each.record().getId().equals(order.instance()))
+        .ifPresent(each -> noteProbe(nowNanos, each, result));
+  }
+
+  private void noteProbe(long nowNanos, PlacedTarget target, ProbeResult result) {
+    target.endProbe(nowNanos, result, terms.getColdStartMs() * NANOS_PER_MS, coldIntervalNanos());
+    if (result instanceof ProbeResult.Answered answered) {
+      answered.load().ifPresent(each -> context.loads().reported(target.id(), each));
+      if (answered.coldLeftMs() > 0) {
+        context.loads().cold(target.id(), answered.coldLeftMs());
+      }
+    }
+  }
+
   private Optional<PlacedTarget> find(TargetId id) {
     return targets.values().stream().filter(each -> each.id().equals(id)).findFirst();
   }
@@ -207,7 +254,8 @@
             .filter(each -> !request.excluded().contains(each.id()))
             .filter(each -> each.mayTake(nowNanos))
             .toList();
-    return best(nowNanos, fitting.stream().filter(each -> each.trust().isUsable(nowNanos)))
+    boolean checked = hasStatusChecks();
+    return best(nowNanos, fitting.stream().filter(each -> each.trust().isUsable(nowNanos, checked)))
         .or(
             () ->
                 fitting.stream()
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/TargetTrust.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/TargetTrust.java
@@ -59,6 +59,13 @@
     }
   }
 
+  /** Notes that the target has not answered a status check; a trial is made again later. */
+  void noteUnanswered(long nowNanos) {
+    if (paused) {
+      pause(nowNanos);
+    }
+  }
+
   private void restore(double failed) {
     failuresInRow = 0;
     paused = false;
@@ -72,9 +79,28 @@
     failuresInRow++;
   }
 
-  /** Returns whether the target may be used now. */
-  boolean isUsable(long nowNanos) {
-    return !paused || nowNanos - pausedUntilNanos >= 0;
+  /**
+   * Returns whether the target may be used now.
+   *
+   * @param checked whether status checks find out that a target has come back, so that no request
+   *     needs to be risked for it
+   */
+  boolean isUsable(long nowNanos, boolean checked) {
+    return !paused || (!checked && isPauseOver(nowNanos));
+  }
+
+  /** Returns whether the target was left alone and may be tried again. */
+  boolean isTrialDue(long nowNanos) {
+    return paused && isPauseOver(nowNanos);
+  }
+
+  private boolean isPauseOver(long nowNanos) {
+    return nowNanos - pausedUntilNanos >= 0;
+  }
+
+  /** Notes that the target has answered a status check, so that it can be reached. */
+  void noteReached() {
+    paused = false;
   }
 
   /** Returns when the pause ends or has ended. */
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/LoadPlay.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/LoadPlay.java
@@ -38,7 +38,10 @@
   private static final double WORK_MS = 90;
   private static final double SLOW = 5;
   private static final double KNEE = 1.7;
+  private static final double NOISE_MS = 100;
   private static final long NEWS_DELAY = 3 * MS;
+  private static final long PROBE_TICK = 20 * MS;
+  private static final double PROBE_WORK_MS = 6;
 
   private final SplittableRandom random;
   private final PriorityQueue<Event> events =
@@ -47,6 +50,8 @@
   private final Map<TargetId, Target> targets = new HashMap<>();
   private long now;
   private long attempts;
+  private boolean checks;
+  private double noisyPart = 0.2;
   private Result result = new Result(0, 0, 0, 0);
 
   private record Event(long at, Runnable run) {}
@@ -94,11 +99,35 @@
     return -mean * Math.log(1 - random.nextDouble());
   }
 
+  /** Lets entry instances check the status of targets, each check at the cost of a little work. */
+  LoadPlay withStatusChecks() {
+    checks = true;
+    return this;
+  }
+
+  /** Sets the part of the time for which a neighbour slows a target down. */
+  LoadPlay withNoise(double part) {
+    noisyPart = part;
+    return this;
+  }
+
+  private void check(long end) {
+    for (int i = 0; i < entries.size(); i++) {
+      entries.get(i).probe(new ProbeDuty(i, entries.size()));
+    }
+    if (now < end) {
+      at(now + PROBE_TICK, () -> check(end));
+    }
+  }
+
   /** Plays a constant rate of requests. */
   Result play(double perSecond, long durationNanos) {
     targets.values().forEach(Target::shift);
     arrive(perSecond, durationNanos);
     tick(durationNanos);
+    if (checks) {
+      check(durationNanos);
+    }
     while (!events.isEmpty()) {
       Event next = events.poll();
       now = next.at();
@@ -173,6 +202,25 @@
                       Set.of()))));
     }
 
+    void probe(ProbeDuty duty) {
+      if (dispatcher instanceof PlacementDispatcher placement) {
+        placement.takeProbes(now, duty).forEach(order -> probe(placement, order));
+      }
+    }
+
+    private void probe(PlacementDispatcher placement, ProbeOrder order) {
+      Target target = targets.get(order.target());
+      at(
+          now + NEWS_DELAY,
+          () -> {
+            target.interrupt(PROBE_WORK_MS);
+            LoadReport report = target.report();
+            tell(this, each -> each.noteReport(now, target.id, report));
+            placement.noteProbe(
+                now, order, new ProbeResult.Answered(Optional.empty(), Optional.of(report), 0));
+          });
+    }
+
     void take(List<Decision> decisions) {
       decisions.forEach(
           decision -> {
@@ -237,11 +285,11 @@
       return new LoadReport(running.size(), waiting.size(), SLOTS, slow ? 500 : 100);
     }
 
-    /** The neighbour is noisy for a quarter of the time. */
+    /** The neighbour is noisy for a part of the time. */
     void shift() {
       advance();
-      slow = !slow && random.nextDouble() < 0.5;
-      at(now + (long) (exponential(slow ? 75 : 150) * MS), this::shiftAgain);
+      slow = random.nextDouble() < noisyPart;
+      at(now + (long) (exponential(NOISE_MS) * MS), this::shiftAgain);
       plan();
     }
 
@@ -265,6 +313,15 @@
       plan();
     }
 
+    /** Takes work for a status check from one of the requests that run. */
+    void interrupt(double workMs) {
+      advance();
+      if (running.size() >= SLOTS) {
+        running.getFirst().leftMs += workMs;
+      }
+      plan();
+    }
+
     private void advance() {
       double done = (now - advanced) / (double) MS * rate();
       running.forEach(job -> job.leftMs -= done);
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/PlacementDispatcherTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/PlacementDispatcherTest.java
@@ -53,6 +53,9 @@
 
     @Override
     public void reported(TargetId target, LoadReport report) {}
+
+    @Override
+    public void cold(TargetId target, int coldLeftMs) {}
   }
 
   private static RoutingState state() {
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/PlacementLoadTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/PlacementLoadTest.java
@@ -14,7 +14,9 @@
 import org.waxwingbeam.target.DispatchRequest;
 import org.waxwingbeam.target.Dispatcher;
 import org.waxwingbeam.target.LoadReport;
+import org.waxwingbeam.wire.routing.RoutingDocument;
 import org.waxwingbeam.wire.routing.RoutingState;
+import org.waxwingbeam.wire.routing.ServiceTerms;
 
 /**
  * Plays loads from light to far beyond what the targets can do, and compares what callers get with
@@ -28,6 +30,20 @@
   /** Answers a second that fifteen targets of four slots give at best, with their slow times. */
   private static final double CAPACITY = 15 * 3 / (0.09 * 2);
 
+  private static final RoutingState STATE =
+      RoutingState.newBuilder()
+          .setRevision(1)
+          .setDocument(
+              RoutingDocument.newBuilder()
+                  .setVersion(1)
+                  .addServices(ServiceTerms.newBuilder().setName("alpha").setHealthPath("/health")))
+          .build();
+
+  /** Requests a second at which each target answers four times a second. */
+  private static final double LIGHT = 60;
+
+  private static final long LONG = TimeUnit.SECONDS.toNanos(45);
+
   /** Sends each request to a target chosen at random. */
   private static final class RandomDispatcher implements Dispatcher {
     private final SplittableRandom random;
@@ -64,12 +80,15 @@
 
           @Override
           public void reported(TargetId target, LoadReport report) {}
+
+          @Override
+          public void cold(TargetId target, int coldLeftMs) {}
         };
     PlacementDispatcher dispatcher =
         new PlacementDispatcher(
             new PlacementContext(
                 "chamonix", () -> ENTRIES, new SplittableRandom(seed), silent, new VersionStops()));
-    dispatcher.configure(RoutingState.getDefaultInstance());
+    dispatcher.configure(STATE);
     LoadPlay.records().forEach(each -> dispatcher.update(0, each));
     return dispatcher;
   }
@@ -79,9 +98,16 @@
         .play(load * CAPACITY, DURATION);
   }
 
+  private static LoadPlay play(long seed) {
+    return new LoadPlay(seed, ENTRIES, each -> placement(seed * 100 + each));
+  }
+
   private static LoadPlay.Result placed(long seed, double load) {
-    return new LoadPlay(seed, ENTRIES, each -> placement(seed * 100 + each))
-        .play(load * CAPACITY, DURATION);
+    return play(seed).play(load * CAPACITY, DURATION);
+  }
+
+  private static LoadPlay.Result checked(long seed, double load) {
+    return play(seed).withStatusChecks().play(load * CAPACITY, DURATION);
   }
 
   private static double inTime(LoadPlay.Result result) {
@@ -100,6 +126,27 @@
         });
   }
 
+  /**
+   * At a light load answers are rare, so what is known of a target is older than the slow times of
+   * its machine last.
+   */
+  @Test
+  void statusChecksServeCallersBetterWhereAnswersAreRare() {
+    LongStream.rangeClosed(1, 4)
+        .forEach(
+            seed -> {
+              double without = inTime(play(seed).withNoise(0.35).play(LIGHT, LONG));
+              double with = inTime(play(seed).withNoise(0.35).withStatusChecks().play(LIGHT, LONG));
+
+              assertThat(1 - with).isLessThan(0.8 * (1 - without));
+            });
+  }
+
+  @Test
+  void statusChecksTakeNothingFromCallersAtFullLoad() {
+    assertThat(inTime(checked(3, 0.9))).isAtLeast(inTime(placed(3, 0.9)) - 0.02);
+  }
+
   @Test
   void overloadDoesNotReduceWhatIsServedInTime() {
     LoadPlay.Result full = placed(7, 0.9);
--- /dev/null
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/StatusCheckTest.java
@@ -0,0 +1,202 @@
+package org.waxwingbeam.target.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.waxwingbeam.model.AccountName;
+import org.waxwingbeam.model.RouteName;
+import org.waxwingbeam.model.ServiceName;
+import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.target.Completion;
+import org.waxwingbeam.target.Decision;
+import org.waxwingbeam.target.DispatchRequest;
+import org.waxwingbeam.target.LoadReport;
+import org.waxwingbeam.target.Outcome;
+import org.waxwingbeam.wire.feed.TargetRecord;
+import org.waxwingbeam.wire.routing.RoutingDocument;
+import org.waxwingbeam.wire.routing.RoutingState;
+import org.waxwingbeam.wire.routing.ServiceTerms;
+
+/** When the status of targets is checked, by whom, and what the answers change. */
+class StatusCheckTest {
+  private static final long MS = TimeUnit.MILLISECONDS.toNanos(1);
+  private static final ProbeDuty ALONE = new ProbeDuty(0, 1);
+  private static final TargetId FIRST = new TargetId("10.0.0.1", 80);
+
+  private final List<String> told = new ArrayList<>();
+  private PlacementDispatcher dispatcher;
+  private long attempts;
+
+  @BeforeEach
+  void start() {
+    dispatcher =
+        new PlacementDispatcher(
+            new PlacementContext(
+                "chamonix", () -> 3, new SplittableRandom(1), new Listener(), new VersionStops()));
+    dispatcher.configure(state());
+    dispatcher.update(0, record(1));
+  }
+
+  private final class Listener implements PlacementContext.LoadListener {
+    @Override
+    public void begun(TargetId target) {}
+
+    @Override
+    public void reported(TargetId target, LoadReport report) {
+      told.add("report of " + target);
+    }
+
+    @Override
+    public void cold(TargetId target, int coldLeftMs) {
+      told.add("%s is cold for %d ms".formatted(target, coldLeftMs));
+    }
+  }
+
+  private static RoutingState state() {
+    return RoutingState.newBuilder()
+        .setRevision(1)
+        .setDocument(
+            RoutingDocument.newBuilder()
+                .setVersion(1)
+                .addServices(
+                    ServiceTerms.newBuilder()
+                        .setName("alpha")
+                        .setHealthPath("/health")
+                        .setConnectionLimit(220)
+                        .setColdStartMs(3_000)
+                        .setColdPerSecond(14)))
+        .build();
+  }
+
+  private static TargetRecord record(int number) {
+    return TargetRecord.newBuilder()
+        .setId("t" + number)
+        .setHost("10.0.0." + number)
+        .setPort(80)
+        .setService("alpha")
+        .setVersion("v1")
+        .setDataCentre("chamonix")
+        .setSlots(4)
+        .setState(TargetRecord.State.READY)
+        .setStartedMs(1)
+        .build();
+  }
+
+  private static ProbeResult answer(String instance, int coldLeftMs) {
+    return new ProbeResult.Answered(
+        Optional.of(instance), Optional.of(new LoadReport(0, 0, 4, 100)), coldLeftMs);
+  }
+
+  private Decision place(long now) {
+    return dispatcher.request(
+        now,
+        new DispatchRequest(
+            ++attempts,
+            new ServiceName("alpha"),
+            new AccountName("common"),
+            new RouteName("r"),
+            true,
+            1,
+            64,
+            now + 1_000 * MS,
+            now + 250 * MS,
+            false,
+            Set.of()));
+  }
+
+  @Test
+  void targetIsCheckedOnceItsReportIsOldAndNotWhileCheckIsUnderWay() {
+    assertThat(dispatcher.takeProbes(49 * MS, ALONE)).isEmpty();
+    assertThat(dispatcher.takeProbes(50 * MS, ALONE))
+        .containsExactly(new ProbeOrder(FIRST, "t1", "/health", 220));
+    assertThat(dispatcher.takeProbes(150 * MS, ALONE)).isEmpty();
+
+    ProbeOrder order = new ProbeOrder(FIRST, "t1", "/health", 220);
+    dispatcher.noteProbe(160 * MS, order, answer("t1", 0));
+
+    assertThat(told).containsExactly("report of 10.0.0.1:80");
+    assertThat(dispatcher.takeProbes(209 * MS, ALONE)).isEmpty();
+    assertThat(dispatcher.takeProbes(210 * MS, ALONE)).hasSize(1);
+  }
+
+  @Test
+  void everyTargetHasOneEntryInstanceThatChecksItFirst() {
+    List<Integer> ranks =
+        java.util.stream.IntStream.range(0, 5)
+            .mapToObj(position -> new ProbeDuty(position, 5).rank("t1"))
+            .sorted()
+            .toList();
+
+    assertThat(ranks).containsExactly(0, 1, 2, 3, 4).inOrder();
+  }
+
+  @Test
+  void otherEntryInstanceStandsInIfNoReportComes() {
+    int second =
+        java.util.stream.IntStream.range(0, 3)
+            .filter(position -> new ProbeDuty(position, 3).rank("t1") == 1)
+            .findFirst()
+            .orElseThrow();
+
+    assertThat(dispatcher.takeProbes(89 * MS, new ProbeDuty(second, 3))).isEmpty();
+    assertThat(dispatcher.takeProbes(90 * MS, new ProbeDuty(second, 3))).hasSize(1);
+  }
+
+  @Test
+  void coldLeavingAndMisplacedTargetsAreNotChecked() {
+    dispatcher.update(0, record(2).toBuilder().setColdLeftMs(3_000).build());
+    dispatcher.update(0, record(3).toBuilder().setState(TargetRecord.State.DRAINING).build());
+
+    assertThat(dispatcher.takeProbes(100 * MS, ALONE).stream().map(ProbeOrder::instance))
+        .containsExactly("t1");
+    dispatcher.noteProbe(
+        101 * MS, new ProbeOrder(FIRST, "t1", "/health", 220), answer("another", 0));
+    assertThat(dispatcher.takeProbes(500 * MS, ALONE)).isEmpty();
+    assertThat(((Decision.Assigned) place(500 * MS)).target())
+        .isEqualTo(new TargetId("10.0.0.2", 80));
+  }
+
+  @Test
+  void targetThatHasBecomeColdIsPacedFromThenOnAndOthersAreTold() {
+    dispatcher.takeProbes(50 * MS, ALONE);
+    dispatcher.noteProbe(60 * MS, new ProbeOrder(FIRST, "t1", "/health", 220), answer("t1", 2_000));
+    long sent =
+        java.util.stream.LongStream.range(60, 1_060)
+            .filter(now -> place(now * MS) instanceof Decision.Assigned)
+            .count();
+
+    assertThat(told).contains("10.0.0.1:80 is cold for 2000 ms");
+    assertThat(sent).isAtMost((long) Math.ceil(14 * 1.5 / 3));
+  }
+
+  @Test
+  void unreachableTargetGetsNoRequestUntilCheckHasReachedIt() {
+    dispatcher.update(0, record(2));
+    place(0);
+    dispatcher.complete(
+        MS, new Completion(attempts, FIRST, Outcome.CONNECT_FAILED, 0, Optional.empty()));
+    dispatcher.takeProbes(400 * MS, ALONE);
+    dispatcher.noteProbe(
+        400 * MS, new ProbeOrder(FIRST, "t1", "/health", 220), new ProbeResult.Unreachable());
+    for (long now = 400; now < 10_000; now += 50) {
+      assertThat(((Decision.Assigned) place(now * MS)).target()).isNotEqualTo(FIRST);
+      dispatcher.complete(
+          now * MS,
+          new Completion(
+              attempts,
+              new TargetId("10.0.0.2", 80),
+              Outcome.SUCCESS,
+              20 * MS,
+              Optional.of(new LoadReport(0, 0, 4, 100))));
+    }
+    assertThat(dispatcher.takeProbes(10_000 * MS, ALONE).stream().map(ProbeOrder::instance))
+        .contains("t1");
+  }
+}
