Requests that cannot be in time are refused at once; restarted replicas show what is committed

Admission: a request goes where a slot is free or where it will probably be in time, else it is refused with a Retry-After spread over the time when room is expected, at most a third of what its caller has left.

A connection keeps the idle time that its target has stated when a status check's answer states none.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -230,6 +231,7 @@
         poison,
         new RequestLog(),
         new EntryMetrics(metrics),
+        new Random(),
         System::nanoTime);
   }
 
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -144,7 +144,7 @@
       EventLoopGroup group, Settings settings, ExchangeContext.Protocols protocols) {
     this.settings = settings;
     this.group = group;
-    long bootId = System.currentTimeMillis();
+    final long bootId = System.currentTimeMillis();
     dispatcher =
         new PlacementDispatcher(
             new PlacementContext(
@@ -180,6 +180,7 @@
             poison,
             new RequestLog(),
             new EntryMetrics(metrics),
+            random,
             System::nanoTime);
     callers = new CallerServer(group, settings.callers(), () -> limits, context);
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerConnection.java
@@ -28,6 +28,7 @@
 import java.util.function.Supplier;
 import org.waxwingbeam.caller.CallerProtocol;
 import org.waxwingbeam.caller.Classification;
+import org.waxwingbeam.caller.RetryAfter;
 import org.waxwingbeam.control.RecordedAnswer;
 import org.waxwingbeam.model.ErrorKind;
 import org.waxwingbeam.model.Parameter;
@@ -200,14 +201,14 @@
             .classify(head.method().name(), head.headers().get(HttpHeaderNames.HOST), head.uri());
     if (closed.isPresent()) {
       keepAlive = false;
-      answerError(closed.get(), 0);
+      answerError(closed.get(), 0, mark.flatMap(CallerConnection::deadlineMs));
     } else if (mark.isEmpty()) {
-      answerError(ErrorKind.MALFORMED_REQUEST, 0);
+      answerError(ErrorKind.MALFORMED_REQUEST, 0, Optional.empty());
     } else if (classification instanceof Classification.Refused refused) {
-      answerError(refused.kind(), 0);
+      answerError(refused.kind(), 0, mark.flatMap(CallerConnection::deadlineMs));
     } else if (classification instanceof Classification.Accepted accepted) {
       if (length > accepted.terms().value(Parameter.REQUEST_BODY_LIMIT)) {
-        answerError(ErrorKind.REQUEST_TOO_LARGE, 0);
+        answerError(ErrorKind.REQUEST_TOO_LARGE, 0, Optional.empty());
         return;
       }
       exchange = new Exchange(context, this, accepted.terms(), mark.get(), head);
@@ -263,9 +264,21 @@
     endExchange();
   }
 
-  /** Answers the current request with an error. */
-  void answerError(ErrorKind kind, long retryAfterMs) {
+  private static Optional<Long> deadlineMs(RequestMark mark) {
+    return mark.deadlineMs().isPresent()
+        ? Optional.of(mark.deadlineMs().getAsLong())
+        : Optional.empty();
+  }
+
+  /**
+   * Answers the current request with an error.
+   *
+   * @param suggestedMs when room is expected, or 0 if that is not known
+   * @param leftMs the time that the caller will still wait, if it has stated one
+   */
+  void answerError(ErrorKind kind, long suggestedMs, Optional<Long> leftMs) {
     context.metrics().onRefusal(kind);
+    long retryAfterMs = RetryAfter.chooseMs(kind, suggestedMs, leftMs, context.random());
     boolean whole = exchange != null && exchange.isRequestWhole();
     keepAlive &= whole || mayDiscard;
     FullHttpResponse answer = context.callerDialect().error(kind, retryAfterMs);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -469,7 +469,16 @@
     boolean unrun = honest.run() == ErrorKind.Run.NO;
     settle(unrun ? ClaimSettlement.Result.DID_NOT_RUN : ClaimSettlement.Result.UNKNOWN);
     finish(honest.code());
-    caller.answerError(honest, retryAfterMs);
+    caller.answerError(honest, retryAfterMs, callerLeftMs());
+  }
+
+  /** Returns how long the caller will still wait, if it has stated it. */
+  private Optional<Long> callerLeftMs() {
+    if (mark.deadlineMs().isEmpty()) {
+      return Optional.empty();
+    }
+    long passedMs = (context.clock().getAsLong() - limits.startNanos()) / NANOS_PER_MS;
+    return Optional.of(Math.max(0, mark.deadlineMs().getAsLong() - passedMs));
   }
 
   private void cut() {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeContext.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeContext.java
@@ -4,6 +4,7 @@
 import java.util.function.IntUnaryOperator;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 import org.waxwingbeam.caller.PoisonList;
 import org.waxwingbeam.caller.RequestRouter;
 import org.waxwingbeam.control.ClaimClient;
@@ -30,6 +31,7 @@
  * @param poison finds requests that crash targets
  * @param requestLog writes what became of requests
  * @param metrics counts refusals and retries
+ * @param random spreads callers that are told to come back
  * @param clock the entry's monotonic clock, in nanoseconds
  * @since 0.1.0
  */
@@ -47,6 +49,7 @@
     PoisonList poison,
     RequestLog requestLog,
     EntryMetrics metrics,
+    RandomGenerator random,
     LongSupplier clock) {
 
   /**
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/DurableLog.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/DurableLog.java
@@ -68,20 +68,25 @@
     return termUnsynced || log.syncedIndex() < log.lastIndex();
   }
 
-  /** Makes everything durable, in one sync. */
-  void sync() throws IOException {
+  /**
+   * Makes everything durable, in one sync.
+   *
+   * @param commitIndex index of the last entry that is known to be committed
+   */
+  void sync(long commitIndex) throws IOException {
     if (isUnsynced()) {
-      journal.append(batch(log.syncedIndex() + 1));
+      journal.append(batch(log.syncedIndex() + 1, commitIndex));
       termUnsynced = false;
       log.synced();
     }
   }
 
-  private JournalBatch batch(long fromIndex) {
+  private JournalBatch batch(long fromIndex, long commitIndex) {
     return JournalBatch.newBuilder()
         .setTerm(term)
         .setVotedFor(votedFor)
         .addAllEntries(log.slice(fromIndex, Integer.MAX_VALUE, Integer.MAX_VALUE))
+        .setCommitted(commitIndex)
         .build();
   }
 
@@ -111,7 +116,7 @@
     journal.restart(
         JournalBase.newBuilder()
             .setSnapshot(snapshot)
-            .setBatch(batch(snapshot.getIndex() + 1))
+            .setBatch(batch(snapshot.getIndex() + 1, snapshot.getIndex()))
             .build());
     termUnsynced = false;
     log.synced();
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ElectionTimer.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ElectionTimer.java
@@ -31,6 +31,14 @@
             + random.nextLong(ReplicaTimings.ELECTION_SPREAD_NANOS);
   }
 
+  /** Puts off the next campaign of a candidate that has no leader to wait for. */
+  void retry(long nowNanos) {
+    deadlineNanos =
+        nowNanos
+            + ReplicaTimings.CAMPAIGN_RETRY_MIN_NANOS
+            + random.nextLong(ReplicaTimings.CAMPAIGN_RETRY_SPREAD_NANOS);
+  }
+
   /** Returns whether a leader was heard so recently that no other candidate may get the vote. */
   boolean keepsLeader(long nowNanos) {
     return nowNanos - leaderContactNanos < ReplicaTimings.ELECTION_MIN_NANOS;
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Journal.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Journal.java
@@ -29,7 +29,7 @@
   private static final String TEMPORARY = "journal.new";
   private static final int FIXED_RECORDS = 2;
   private static final Recovered NOTHING =
-      new Recovered(LogSnapshot.getDefaultInstance(), 0, "", List.of(), 0);
+      new Recovered(LogSnapshot.getDefaultInstance(), 0, "", List.of(), 0, 0);
 
   private final ReplicaFolder folder;
   private final String replicaId;
@@ -46,10 +46,16 @@
    * @param term the newest term
    * @param votedFor the replica that got the vote in that term, or empty text
    * @param entries the entries after the snapshot, in order
+   * @param committed index of the last entry that was known to be committed
    * @param cutBytes bytes of an interrupted write that were cut from the end
    */
   public record Recovered(
-      LogSnapshot snapshot, long term, String votedFor, List<LogEntry> entries, long cutBytes) {
+      LogSnapshot snapshot,
+      long term,
+      String votedFor,
+      List<LogEntry> entries,
+      long committed,
+      long cutBytes) {
     /** Copies the list. */
     public Recovered {
       entries = List.copyOf(entries);
@@ -134,12 +140,14 @@
     long snapshotIndex = base.getSnapshot().getIndex();
     List<LogEntry> entries = new ArrayList<>(base.getBatch().getEntriesList());
     JournalBatch newest = base.getBatch();
+    long committed = Math.max(snapshotIndex, newest.getCommitted());
     for (JournalRecord each : records.subList(FIXED_RECORDS, records.size())) {
       newest = each.getBatch();
       newest.getEntriesList().forEach(entry -> put(entries, snapshotIndex, entry));
+      committed = Math.max(committed, newest.getCommitted());
     }
     return new Recovered(
-        base.getSnapshot(), newest.getTerm(), newest.getVotedFor(), entries, cutBytes);
+        base.getSnapshot(), newest.getTerm(), newest.getVotedFor(), entries, committed, cutBytes);
   }
 
   private static void put(List<LogEntry> entries, long snapshotIndex, LogEntry entry) {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Replica.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Replica.java
@@ -93,6 +93,7 @@
     log = disk.entries();
     election = new ReplicaElection(id, disk, this::send);
     restore(recovered.snapshot());
+    commitIndex = Math.min(recovered.committed(), log.lastIndex());
     timer = new ElectionTimer(random, nowNanos);
   }
 
@@ -214,7 +215,7 @@
   private void preCampaign(long nowNanos) {
     role = ReplicaRole.CANDIDATE;
     leaderId = Optional.empty();
-    timer.postpone(nowNanos);
+    timer.retry(nowNanos);
     if (election.start(term() + 1, true)) {
       campaign(nowNanos);
     }
@@ -222,7 +223,7 @@
 
   private void campaign(long nowNanos) {
     disk.enterTerm(term() + 1, id);
-    timer.postpone(nowNanos);
+    timer.retry(nowNanos);
     if (election.start(term(), false)) {
       lead(nowNanos);
     }
@@ -345,7 +346,7 @@
     }
     try {
       do {
-        disk.sync();
+        disk.sync(commitIndex);
         leadership.ifPresent(
             each -> commitIndex = each.commitIndex(commitIndex, log.syncedIndex()));
         applyCommitted();
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
@@ -182,8 +182,7 @@
       return;
     }
     reusable = HttpUtil.isKeepAlive(head);
-    idleLimitNanos =
-        KeepAliveHeader.idleLimitNanos(head.headers()).orElse(DEFAULT_IDLE_LIMIT_NANOS);
+    idleLimitNanos = KeepAliveHeader.idleLimitNanos(head.headers()).orElse(idleLimitNanos);
     if (!isExpected(head)) {
       fail(ExchangeFailure.MALFORMED_ANSWER);
     } else {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
@@ -40,9 +40,6 @@
   /** Weight of the newest answer in averages over the service. */
   private static final double AVERAGE_WEIGHT = 0.05;
 
-  /** Estimates of what others have under way are fractions; this much counts as nothing. */
-  private static final double ROUNDING = 0.5;
-
   private static final long NANOS_PER_MS = 1_000_000;
   private static final long DEFAULT_COLD_MS = 3_000;
   private static final double DEFAULT_COLD_PER_SECOND = 4;
@@ -182,8 +179,13 @@
   }
 
   private boolean mayGo(long nowNanos, DispatchRequest request, PlacedTarget target) {
-    return canAnswerInTime(nowNanos, request, target)
-        && (!request.hedge() || hasFreeSlot(nowNanos, target));
+    Admission.Offer offer =
+        new Admission.Offer(
+            target.outstanding(nowNanos, averageOthers),
+            target.slots(),
+            predictedNanos(nowNanos, request, target));
+    return Admission.admits(
+        offer, request.goalNanos() - nowNanos, request.deadlineNanos() - nowNanos, request.hedge());
   }
 
   /** What the targets allow for a request. */
@@ -226,14 +228,8 @@
         Optional.of(basis));
   }
 
-  /** Refuses a request; its caller may return after a time that differs from the others'. */
-  private Decision overloaded(DispatchRequest request) {
-    long spreadMs = (long) (OVERLOADED_RETRY_MS * (1 + random.nextDouble()));
-    return new Decision.Refused(request.attemptId(), ErrorKind.OVERLOADED, spreadMs);
-  }
-
-  private boolean hasFreeSlot(long nowNanos, PlacedTarget target) {
-    return target.outstanding(nowNanos, averageOthers) + 1 <= target.slots() + ROUNDING;
+  private static Decision overloaded(DispatchRequest request) {
+    return new Decision.Refused(request.attemptId(), ErrorKind.OVERLOADED, OVERLOADED_RETRY_MS);
   }
 
   /** Returns whether a version may serve what the chosen one cannot. */
@@ -285,10 +281,6 @@
         target.trust().failureShare());
   }
 
-  private boolean canAnswerInTime(long nowNanos, DispatchRequest request, PlacedTarget target) {
-    return predictedNanos(nowNanos, request, target) <= request.deadlineNanos() - nowNanos;
-  }
-
   private double predictedNanos(long nowNanos, DispatchRequest request, PlacedTarget target) {
     double usual = usualNanos.getOrDefault(request.route(), 0.0);
     return usual * score(nowNanos, target).predictedTime();
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/EntryFixture.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/fakes/EntryFixture.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
@@ -96,6 +97,7 @@
             shared.poison(),
             new RequestLog(),
             new EntryMetrics(registry),
+            new Random(),
             System::nanoTime);
     server = new CallerServer(group, new Endpoint("127.0.0.1", 0), () -> limits, context);
   }
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/fakes/replica/JournalTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/fakes/replica/JournalTest.java
@@ -31,7 +31,21 @@
     assertThat(recovered)
         .isEqualTo(
             new Journal.Recovered(
-                LogSnapshot.getDefaultInstance(), 2, "replica-b", List.of(entry(1), entry(2)), 0));
+                LogSnapshot.getDefaultInstance(),
+                2,
+                "replica-b",
+                List.of(entry(1), entry(2)),
+                0,
+                0));
+  }
+
+  @Test
+  void keepsWhatWasKnownToBeCommitted() throws IOException {
+    Journal journal = open();
+    journal.append(batch(1));
+    journal.append(batch(2).toBuilder().setCommitted(1).build());
+
+    assertThat(open().takeRecovered().committed()).isEqualTo(1);
   }
 
   @Test
