Moves are judged by a bound on false alarms, also by replicas that do not lead; status checks logged

The bound is Chernoff's, 1e-4 a look, above 1.5 times the old version's share.

Reports and begun requests find their target by address instead of by a search through every service.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/MoveRunner.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/MoveRunner.java
@@ -29,12 +29,17 @@
     this.proposer = proposer;
   }
 
-  /** Takes what an entry instance has seen of a move. */
+  /**
+   * Takes what an entry instance has seen of a move. Replicas that do not lead take it too, so that
+   * one that begins to lead knows what was seen before.
+   */
   void observe(VersionEvidence evidence) {
-    MoveCourse course = courses.get(evidence.getService());
-    if (course != null && course.number() == evidence.getMove()) {
-      course.observe(System.nanoTime(), evidence);
-    }
+    long now = System.nanoTime();
+    routing
+        .move(evidence.getService())
+        .filter(each -> each.getState() == ServiceMove.State.RUNNING)
+        .filter(each -> each.getNumber() == evidence.getMove())
+        .ifPresent(each -> course(now, each).observe(now, evidence));
   }
 
   /** Advances every move that is due. */
@@ -45,12 +50,7 @@
   }
 
   private void advance(long nowNanos, ServiceMove move) {
-    MoveCourse course = courses.get(move.getService());
-    if (course == null || course.number() != move.getNumber()) {
-      course = new MoveCourse(nowNanos, move);
-      courses.put(move.getService(), course);
-    }
-    course
+    course(nowNanos, move)
         .next(nowNanos, move)
         .ifPresent(
             next -> {
@@ -67,4 +67,13 @@
               proposer.accept(RoutingChange.newBuilder().setAdvanceMove(next).build());
             });
   }
+
+  private MoveCourse course(long nowNanos, ServiceMove move) {
+    return courses.compute(
+        move.getService(),
+        (service, known) ->
+            known != null && known.number() == move.getNumber()
+                ? known
+                : new MoveCourse(nowNanos, move));
+  }
 }
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -111,6 +111,7 @@
   private final LoadPeerLists peers;
   private final TargetConnections connections;
   private final TargetProber prober;
+  private final StatusCheckLog statusChecks;
   private final CallerServer callers;
   private RoutingState routing = RoutingState.getDefaultInstance();
   private RouteTable routes = new RouteTable();
@@ -165,6 +166,8 @@
             .setLoadsAddress(settings.loads().toString())
             .build();
     feed = new FeedClient(group.next(), greeting, settings.replicas(), new FeedListener());
+    EntryMetrics entryMetrics = new EntryMetrics(metrics);
+    statusChecks = new StatusCheckLog(entryMetrics);
     ExchangeContext context =
         new ExchangeContext(
             new DispatchGate(dispatcher, System::nanoTime),
@@ -179,7 +182,7 @@
             new NoClaims(),
             poison,
             new RequestLog(),
-            new EntryMetrics(metrics),
+            entryMetrics,
             random,
             System::nanoTime);
     callers = new CallerServer(group, settings.callers(), () -> limits, context);
@@ -234,7 +237,10 @@
     prober.probe(
         order,
         connectionShare(order.connectionLimit()),
-        result -> dispatcher.noteProbe(System.nanoTime(), order, result));
+        result -> {
+          statusChecks.note(order, result);
+          dispatcher.noteProbe(System.nanoTime(), order, result);
+        });
   }
 
   private int fleetSize() {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/metrics/EntryMetrics.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/metrics/EntryMetrics.java
@@ -23,6 +23,7 @@
   private final Counter requests;
   private final Counter cutAnswers;
   private final Counter departures;
+  private final Counter statusChecks;
   private final Histogram durations;
   private final Map<ErrorKind, CounterDataPoint> refusals;
   private final Map<RetryReason, CounterDataPoint> retries;
@@ -45,6 +46,8 @@
             .name("waxwingbeam_entry_callers_gone")
             .help("Requests whose caller left before the answer was whole.")
             .register(registry);
+    statusChecks =
+        counter(registry, "status_checks", "Status checks of targets by what they found.", "found");
     durations =
         Histogram.builder()
             .name("waxwingbeam_entry_request_duration_seconds")
@@ -123,6 +126,15 @@
     cutAnswers.inc();
   }
 
+  /**
+   * Counts a status check.
+   *
+   * @param found what it found, one of a few words
+   */
+  public void onStatusCheck(String found) {
+    statusChecks.labelValues(found).inc();
+  }
+
   /** Counts a request whose caller left. */
   public void onCallerGone() {
     departures.inc();
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/MoveCourse.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/MoveCourse.java
@@ -27,10 +27,18 @@
   /** Bad answers of the new version that are needed to roll it back. */
   private static final int MIN_BAD = 6;
 
-  /** How many times the bad share of the new version must exceed that of the old one. */
-  private static final double BAD_RATIO = 3;
+  /** Bad share that any version may have: its few targets may have noisy neighbours. */
+  private static final double TOLERATED_BAD_SHARE = 0.05;
+
+  /** How many times the bad share of the old version the new one may have. */
+  private static final double TOLERATED_RATIO = 1.5;
+
+  /** Addition to that share, for an old version that has hardly any bad answers. */
+  private static final double TOLERATED_ADDITION = 0.02;
+
+  /** Probability with which a version that is as good as tolerated may be rolled back. */
+  private static final double FALSE_ALARM_PROBABILITY = 1e-4;
 
-  private static final double MIN_BAD_SHARE = 0.08;
   private static final long NANOS_PER_MS = 1_000_000;
 
   private final long number;
@@ -112,9 +120,22 @@
 
   private boolean isBad() {
     double shareBefore = (badBefore + 1.0) / (answersBefore + 20.0);
-    double shareAfter = (double) badAfter / Math.max(1, answersAfter);
+    double tolerated =
+        Math.clamp(TOLERATED_RATIO * shareBefore + TOLERATED_ADDITION, TOLERATED_BAD_SHARE, 0.9);
+    double found = (double) badAfter / Math.max(1, answersAfter);
     return badAfter >= MIN_BAD
-        && shareAfter >= MIN_BAD_SHARE
-        && shareAfter >= BAD_RATIO * shareBefore;
+        && found > tolerated
+        && answersAfter * divergence(found, tolerated) >= -Math.log(FALSE_ALARM_PROBABILITY);
+  }
+
+  /**
+   * Returns how much an answer tells on average for the found share against the tolerated one. By
+   * Chernoff's bound, n answers show such a share with a probability of at most exp(-n * result) if
+   * the tolerated one is the true one.
+   */
+  private static double divergence(double found, double tolerated) {
+    double bad = found * Math.log(found / tolerated);
+    double good = found < 1 ? (1 - found) * Math.log((1 - found) / (1 - tolerated)) : 0;
+    return bad + good;
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.waxwingbeam.model.ErrorKind;
 import org.waxwingbeam.model.RouteName;
@@ -48,6 +49,7 @@
   private final RandomGenerator random;
   private final VersionChoice versions;
   private final Map<String, PlacedTarget> targets = new HashMap<>();
+  private Map<TargetId, PlacedTarget> byAddress = Map.of();
   private final MoveEvidence evidence = new MoveEvidence();
 
   /** Mean of the answers' times by route, at a target that works as usual. */
@@ -80,6 +82,13 @@
   }
 
   void update(long nowNanos, TargetRecord record) {
+    keep(nowNanos, record);
+    byAddress =
+        targets.values().stream()
+            .collect(Collectors.toMap(PlacedTarget::id, each -> each, (one, other) -> other));
+  }
+
+  private void keep(long nowNanos, TargetRecord record) {
     if (record.getState() == TargetRecord.State.GONE) {
       targets.remove(record.getId());
       return;
@@ -159,7 +168,7 @@
   }
 
   private Optional<PlacedTarget> find(TargetId id) {
-    return targets.values().stream().filter(each -> each.id().equals(id)).findFirst();
+    return Optional.ofNullable(byAddress.get(id));
   }
 
   private long coldIntervalNanos() {
@@ -168,7 +177,7 @@
 
   /** Decides on a request: sends it, or refuses what no target can answer in time. */
   Decision request(long nowNanos, DispatchRequest request) {
-    Placing placing = place(nowNanos, request);
+    Placing placing = seek(nowNanos, request);
     return switch (placing) {
       case Placing.Impossible impossible ->
           new Decision.Refused(request.attemptId(), ErrorKind.NO_TARGET, NO_TARGET_RETRY_MS);
@@ -197,7 +206,7 @@
     record Impossible() implements Placing {}
   }
 
-  private Placing place(long nowNanos, DispatchRequest request) {
+  private Placing seek(long nowNanos, DispatchRequest request) {
     List<PlacedTarget> open =
         targets.values().stream()
             .filter(PlacedTarget::isReady)
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/MoveCourseTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/MoveCourseTest.java
@@ -75,6 +75,21 @@
     assertThat(course.next(2 * SECOND, MOVE)).isEqualTo(Optional.empty());
   }
 
+  @Test
+  void noisyNeighboursOfFewTargetsAreNoReasonToRollBack() {
+    observe(900, 10, 120, 12);
+
+    assertThat(course.next(2 * SECOND, MOVE)).isEqualTo(Optional.empty());
+  }
+
+  @Test
+  void versionOfWhichThirdFailsIsRolledBackAfterThirtyAnswers() {
+    observe(500, 5, 30, 10);
+
+    assertThat(course.next(2 * SECOND, MOVE).orElseThrow().getState())
+        .isEqualTo(ServiceMove.State.ROLLED_BACK);
+  }
+
   @Test
   void versionThatAnsweredNothingIsRolledBackAtTheLimit() {
     observe(400, 0, 0, 0);
