--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -127,6 +127,7 @@
    * @param loads where other entry instances send load reports
    * @param replicas where the first control replicas take entry instances
    * @param retries the retry budget of each service for the whole fleet
+   * @param checksPerSecond status checks that the whole fleet may send to one target
    */
   public record Settings(
       InstanceName instance,
@@ -134,7 +135,8 @@
       Endpoint callers,
       Endpoint loads,
       List<Endpoint> replicas,
-      WindowBudget.Terms retries) {
+      WindowBudget.Terms retries,
+      double checksPerSecond) {
     /** Copies the list. */
     public Settings {
       replicas = List.copyOf(replicas);
@@ -153,6 +155,7 @@
                 this::fleetSize,
                 random,
                 new LoadNews(),
+                settings.checksPerSecond(),
                 new VersionStops()));
     loads = LoadExchange.start(group, settings.loads(), this::receive);
     peers = new LoadPeerLists();
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacedTarget.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacedTarget.java
@@ -1,6 +1,5 @@
 package org.waxwingbeam.target.placement;
 
-import java.util.random.RandomGenerator;
 import org.waxwingbeam.model.TargetId;
 import org.waxwingbeam.model.VersionName;
 import org.waxwingbeam.target.Completion;
@@ -23,18 +22,19 @@
   private final LoadEstimate load = new LoadEstimate();
   private final TargetTrust trust = new TargetTrust();
   private final ColdPacer pacer;
-  private final ProbeTimer probes = new ProbeTimer();
+  private final ProbeTimer probes;
   private final long createdNanos;
   private TargetRecord record;
   private boolean misplaced;
   private int inFlight;
 
-  PlacedTarget(long nowNanos, TargetRecord record, RandomGenerator random) {
+  PlacedTarget(long nowNanos, TargetRecord record, PlacementContext context) {
     createdNanos = nowNanos;
     this.record = record;
     id = new TargetId(record.getHost(), record.getPort());
     version = new VersionName(record.getVersion());
-    pacer = new ColdPacer(random);
+    pacer = new ColdPacer(context.random());
+    probes = new ProbeTimer(context.checksPerSecond());
   }
 
   TargetId id() {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementContext.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementContext.java
@@ -12,6 +12,7 @@
  * @param fleetSize returns the number of entry instances
  * @param random spreads choices
  * @param loads hears what this entry instance learns of targets' load
+ * @param checksPerSecond status checks that all entry instances together may send to one target
  * @param stops the versions that this entry instance has stopped by itself
  * @since 0.1.0
  */
@@ -20,6 +21,7 @@
     IntSupplier fleetSize,
     RandomGenerator random,
     LoadListener loads,
+    double checksPerSecond,
     VersionStops stops) {
   /** Hears what an entry instance learns of targets' load, to tell others. */
   public interface LoadListener {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ProbeTimer.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ProbeTimer.java
@@ -14,16 +14,35 @@
    */
   private static final long REPORT_LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
-  /** Time that each further entry instance waits for the one before it to bring a report. */
-  private static final long STAND_IN_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+  /**
+   * Checks of one target by all entry instances in one lifetime, if none of them hears of what the
+   * others find: each waits a little longer than the one before it.
+   */
+  private static final double CHECKS_PER_LIFETIME = 2.5;
+
+  /** Part of a lifetime that each further entry instance waits for the one before it. */
+  private static final double STAND_IN_PART = 0.8;
 
   /** Entry instances that stand in at most; a target that none of them reaches is lost. */
   private static final int MAX_RANK = 3;
 
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  private final long lifetimeNanos;
   private boolean underWay;
   private boolean begun;
   private long lastNanos;
 
+  /**
+   * Creates a timer.
+   *
+   * @param checksPerSecond checks that all entry instances together may send to the target
+   */
+  ProbeTimer(double checksPerSecond) {
+    long allowedNanos = (long) (CHECKS_PER_LIFETIME / checksPerSecond * NANOS_PER_SECOND);
+    lifetimeNanos = Math.max(REPORT_LIFETIME_NANOS, allowedNanos);
+  }
+
   /**
    * Returns whether a check is due.
    *
@@ -33,9 +52,8 @@
    */
   boolean isDue(long nowNanos, long reportAgeNanos, int rank) {
     boolean mine = rank <= MAX_RANK && !underWay;
-    return mine
-        && reportAgeNanos >= REPORT_LIFETIME_NANOS + rank * STAND_IN_NANOS
-        && isRested(nowNanos);
+    double dueAgeNanos = lifetimeNanos * (1 + rank * STAND_IN_PART);
+    return mine && reportAgeNanos >= dueAgeNanos && isRested(nowNanos);
   }
 
   /** Returns whether a target that could not be used may be checked again. */
@@ -44,7 +62,7 @@
   }
 
   private boolean isRested(long nowNanos) {
-    return !begun || nowNanos - lastNanos >= REPORT_LIFETIME_NANOS;
+    return !begun || nowNanos - lastNanos >= lifetimeNanos;
   }
 
   /** Notes that a check is sent. */
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
@@ -101,7 +101,7 @@
             || !known.version().value().equals(record.getVersion());
     if (moved) {
       targets.values().removeIf(each -> isReplacedBy(each, record));
-      known = new PlacedTarget(nowNanos, record, random);
+      known = new PlacedTarget(nowNanos, record, context);
       targets.put(record.getId(), known);
     }
     known.update(nowNanos, record, coldIntervalNanos());
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/PlacementDispatcherTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/PlacementDispatcherTest.java
@@ -42,6 +42,7 @@
                 () -> FLEET,
                 new SplittableRandom(seed),
                 new SilentListener(),
+                60,
                 new VersionStops()));
     created.configure(state());
     return created;
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/PlacementLoadTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/PlacementLoadTest.java
@@ -87,7 +87,12 @@
     PlacementDispatcher dispatcher =
         new PlacementDispatcher(
             new PlacementContext(
-                "chamonix", () -> ENTRIES, new SplittableRandom(seed), silent, new VersionStops()));
+                "chamonix",
+                () -> ENTRIES,
+                new SplittableRandom(seed),
+                silent,
+                60,
+                new VersionStops()));
     dispatcher.configure(STATE);
     LoadPlay.records().forEach(each -> dispatcher.update(0, each));
     return dispatcher;
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/StatusCheckTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/StatusCheckTest.java
@@ -39,7 +39,12 @@
     dispatcher =
         new PlacementDispatcher(
             new PlacementContext(
-                "chamonix", () -> 3, new SplittableRandom(1), new Listener(), new VersionStops()));
+                "chamonix",
+                () -> 3,
+                new SplittableRandom(1),
+                new Listener(),
+                60,
+                new VersionStops()));
     dispatcher.configure(state());
     dispatcher.update(0, record(1));
   }
@@ -199,4 +204,26 @@
     assertThat(dispatcher.takeProbes(10_000 * MS, ALONE).stream().map(ProbeOrder::instance))
         .contains("t1");
   }
+
+  @Test
+  void fleetThatHearsNothingOfEachOtherStaysWithinTheBudget() {
+    int fleet = 16;
+    for (double budget : new double[] {60, 10}) {
+      long sent = 0;
+      for (int position = 0; position < fleet; position++) {
+        ProbeTimer timer = new ProbeTimer(budget);
+        int rank = new ProbeDuty(position, fleet).rank("t1");
+        long reportMs = 0;
+        for (long now = 0; now < 10_000; now += 5) {
+          if (timer.isDue(now * MS, (now - reportMs) * MS, rank)) {
+            timer.begin(now * MS);
+            timer.end();
+            reportMs = now;
+            sent++;
+          }
+        }
+      }
+      assertThat(sent / 10.0).isAtMost(budget);
+    }
+  }
 }
