--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
@@ -169,7 +169,7 @@
     }
     TargetDirectory.Merge merged = targets.merge(now, record);
     if (merged == TargetDirectory.Merge.CHANGED) {
-      logTarget(record);
+      TargetLog.changed(record);
       targets.find(now, record.getId()).ifPresent(feed::publish);
     }
     if (leaving) {
@@ -179,29 +179,6 @@
     }
   }
 
-  private static void logTarget(TargetRecord record) {
-    LOG.info(
-        "target-changed",
-        "target",
-        record.getId(),
-        "address",
-        record.getHost() + ":" + record.getPort(),
-        "service",
-        record.getService(),
-        "version",
-        record.getVersion(),
-        "data_centre",
-        record.getDataCentre(),
-        "state",
-        record.getState(),
-        "report",
-        record.getReport(),
-        "started_ms",
-        record.getStartedMs(),
-        "cold_left_ms",
-        record.getColdLeftMs());
-  }
-
   /**
    * Puts an operator's order into the log.
    *
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -363,22 +363,7 @@
     long now = System.nanoTime();
     if (directory.merge(now, record) == TargetDirectory.Merge.CHANGED) {
       directory.find(now, record.getId()).ifPresent(each -> dispatcher.update(now, each));
-      LOG.info(
-          "target-changed",
-          "target",
-          record.getId(),
-          "address",
-          record.getHost() + ":" + record.getPort(),
-          "service",
-          record.getService(),
-          "version",
-          record.getVersion(),
-          "state",
-          record.getState(),
-          "started_ms",
-          record.getStartedMs(),
-          "cold_left_ms",
-          record.getColdLeftMs());
+      TargetLog.changed(record);
     }
   }
 
--- /dev/null
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/TargetLog.java
@@ -0,0 +1,34 @@
+package org.waxwingbeam.daemon.routed;
+
+import org.waxwingbeam.logging.EventLog;
+import org.waxwingbeam.wire.feed.TargetRecord;
+
+/** Writes what a process has newly learned of a target from the target's own reports. */
+final class TargetLog {
+  private static final EventLog LOG = new EventLog(TargetLog.class);
+
+  private TargetLog() {}
+
+  static void changed(TargetRecord record) {
+    LOG.info(
+        "target-changed",
+        "target",
+        record.getId(),
+        "address",
+        record.getHost() + ":" + record.getPort(),
+        "service",
+        record.getService(),
+        "version",
+        record.getVersion(),
+        "data_centre",
+        record.getDataCentre(),
+        "state",
+        record.getState(),
+        "report",
+        record.getReport(),
+        "started_ms",
+        record.getStartedMs(),
+        "cold_left_ms",
+        record.getColdLeftMs());
+  }
+}
