A document with a route whose timeout is 0 is refused

The log of core machines with the bodies shows timeout 0ms as the only fault. Ruled out: services, weights, hosts and prefixes, which were refused.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/operator/RoutingDocumentCheck.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/operator/RoutingDocumentCheck.java
@@ -45,6 +45,11 @@
           "route '%s': path prefix '%s': expected one that begins with a slash"
               .formatted(route.getName(), route.getPathPrefix()));
     }
+    if (route.getTimeoutMs() < 1) {
+      faults.add(
+          "route '%s': timeout %d ms: expected 1 ms or more"
+              .formatted(route.getName(), route.getTimeoutMs()));
+    }
     double weight = route.getServicesList().stream().mapToDouble(WeightedService::getWeight).sum();
     boolean negative =
         route.getServicesList().stream()
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/operator/RoutingMachineTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/operator/RoutingMachineTest.java
@@ -110,6 +110,7 @@
         .containsExactly(
             "route 'r': expected a host, found none",
             "route 'r': path prefix 'bare': expected one that begins with a slash",
+            "route 'r': timeout 0 ms: expected 1 ms or more",
             "route 'r': expected weights that add up to more than 0, found 0.0",
             "route 'r': service 'beta': expected one of the document's services");
   }
