Requests refused before they have a route are logged; so is the status that a target gave

Callers saw 4xx responses that nobody could explain afterwards: a request that was refused before it had a route left no line, and request-ended did not say which status was passed on. No decision is changed.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerConnection.java
@@ -124,6 +124,8 @@
     long idleMs = TimeUnit.NANOSECONDS.toMillis(context.clock().getAsLong() - idleSinceNanos);
     if (exchange == null && !closing) {
       if (decoder.isWithinHead() && idleMs > limits.get().headerTimeoutMs()) {
+        logRefusal(
+            ErrorKind.REQUEST_TIMEOUT, Optional.empty(), Optional.of("idle " + idleMs + " ms"));
         refuseAndClose(ErrorKind.REQUEST_TIMEOUT);
       } else if (idleMs > limits.get().keepAliveIdleMs()) {
         channel.close();
@@ -171,7 +173,7 @@
   private void onContent(HttpContent content) {
     if (content.decoderResult().isFailure()) {
       content.release();
-      onMalformed();
+      onMalformed(content.decoderResult().cause());
     } else if (exchange != null) {
       exchange.onBody(content);
     } else {
@@ -183,6 +185,9 @@
     idleSinceNanos = context.clock().getAsLong();
     Optional<ErrorKind> error = RequestFraming.findError(head);
     if (error.isPresent()) {
+      Optional<String> reason =
+          Optional.ofNullable(head.decoderResult().cause()).map(Throwable::toString);
+      logRefusal(error.get(), Optional.of(head), reason);
       refuseAndClose(error.get());
       return;
     }
@@ -205,14 +210,14 @@
             .classify(head.method().name(), head.headers().get(HttpHeaderNames.HOST), head.uri());
     if (refusal.isPresent()) {
       keepAlive = false;
-      sendError(refusal.get(), 0, metadata.flatMap(CallerConnection::deadlineMs));
+      refuse(refusal.get(), head, metadata.flatMap(CallerConnection::deadlineMs));
     } else if (metadata.isEmpty()) {
-      sendError(ErrorKind.MALFORMED_REQUEST, 0, Optional.empty());
+      refuse(ErrorKind.MALFORMED_REQUEST, head, Optional.empty());
     } else if (classification instanceof Classification.Refused refused) {
-      sendError(refused.kind(), 0, metadata.flatMap(CallerConnection::deadlineMs));
+      refuse(refused.kind(), head, metadata.flatMap(CallerConnection::deadlineMs));
     } else if (classification instanceof Classification.Accepted accepted) {
       if (length > accepted.policy().value(Parameter.REQUEST_BODY_LIMIT)) {
-        sendError(ErrorKind.REQUEST_TOO_LARGE, 0, Optional.empty());
+        refuse(ErrorKind.REQUEST_TOO_LARGE, head, Optional.empty());
         return;
       }
       exchange = new Exchange(context, this, accepted.policy(), metadata.get(), head);
@@ -221,6 +226,27 @@
     }
   }
 
+  /** Refuses a request that has no route or may not be served now. */
+  private void refuse(ErrorKind kind, HttpRequest head, Optional<Long> leftMs) {
+    logRefusal(kind, Optional.of(head), Optional.empty());
+    sendError(kind, 0, leftMs);
+  }
+
+  private void logRefusal(ErrorKind kind, Optional<HttpRequest> head, Optional<String> reason) {
+    context
+        .requestLog()
+        .logRefusal(
+            context.clock().getAsLong(),
+            new RequestLog.Refusal(
+                head.flatMap(each -> context.callerAdapter().readMetadata(each.headers()))
+                    .flatMap(RequestMetadata::requestId),
+                kind,
+                head.map(each -> each.method().name()),
+                head.map(each -> each.headers().get(HttpHeaderNames.HOST)),
+                head.map(HttpRequest::uri),
+                reason));
+  }
+
   /** Sends {@code 100 Continue} if the caller expects it and it has not been sent yet. */
   void continueIfExpected() {
     if (continueExpected) {
@@ -332,11 +358,12 @@
     channel.close();
   }
 
-  private void onMalformed() {
+  private void onMalformed(Throwable cause) {
     if (exchange != null) {
       keepAlive = false;
       exchange.abort(ErrorKind.MALFORMED_REQUEST);
     } else if (!closing) {
+      logRefusal(ErrorKind.MALFORMED_REQUEST, Optional.empty(), Optional.of(String.valueOf(cause)));
       refuseAndClose(ErrorKind.MALFORMED_REQUEST);
     }
   }
@@ -395,7 +422,7 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     if (cause instanceof DecoderException) {
-      onMalformed();
+      onMalformed(cause);
     } else {
       channel.close();
     }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.waxwingbeam.caller.AttemptFailure;
 import org.waxwingbeam.caller.RetryPolicy;
@@ -57,6 +58,7 @@
   private Optional<AttemptFailure> ambiguousFailure = Optional.empty();
   private Optional<BufferedResponse> failedResponse = Optional.empty();
   private TargetAttempt respondingAttempt;
+  private OptionalInt targetStatus = OptionalInt.empty();
   private int attempts;
   // Whether the first attempt no longer waits for the body.
   private boolean prechecked;
@@ -330,6 +332,7 @@
     timeouts.onResponseHead(context.clock().getAsLong());
     HopByHopHeaders.removeFromResponse(responseHead.headers());
     context.targetAdapter().removeInternalHeaders(responseHead.headers());
+    targetStatus = OptionalInt.of(responseHead.status().code());
     caller.writeHead(responseHead);
     attempt.setAutoRead(caller.isWritable());
   }
@@ -407,6 +410,7 @@
     cancelAll(AttemptOutcome.CANCELLED);
     HopByHopHeaders.removeFromResponse(response.head().headers());
     context.targetAdapter().removeInternalHeaders(response.head().headers());
+    targetStatus = OptionalInt.of(response.head().status().code());
     caller.writeHead(response.head());
     response.drainTo(caller::write);
     reportOutcome(ClaimOutcome.Result.RAN);
@@ -544,6 +548,7 @@
                 policy,
                 List.copyOf(attemptSummaries),
                 result,
+                targetStatus,
                 now - timeouts.startNanos(),
                 timeouts.headDeadlineNanos() - now));
     // Has no effect if the outcome has already been reported.
