The time limit of a request's head counts from its first byte

Callers saw 408 and a closed connection for a proper request: its head came in two pieces (a lost segment is enough) on a connection that had been idle for longer than the time limit of a head. Cause: the limit counted from the end of the previous request, so it had passed when the head began, and a check that fell between the two pieces refused the request. The same check closed a connection whose idle limit passed within a head. CallerFramingTest#requestWhoseHeadArrivesInPiecesAfterIdleTimeIsServed got 'request-timeout: the request did not arrive in time' before.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerConnection.java
@@ -121,19 +121,31 @@
     if (!channel.isActive()) {
       return;
     }
-    long idleMs = TimeUnit.NANOSECONDS.toMillis(context.clock().getAsLong() - idleSinceNanos);
     if (exchange == null && !closing) {
-      if (decoder.isWithinHead() && idleMs > limits.get().headerTimeoutMs()) {
-        logRefusal(
-            ErrorKind.REQUEST_TIMEOUT, Optional.empty(), Optional.of("idle " + idleMs + " ms"));
-        refuseAndClose(ErrorKind.REQUEST_TIMEOUT);
-      } else if (idleMs > limits.get().keepAliveIdleMs()) {
+      if (decoder.isWithinHead()) {
+        refuseSlowHead();
+      } else if (millisSince(idleSinceNanos) > limits.get().keepAliveIdleMs()) {
         channel.close();
       }
     }
     scheduleIdleCheck();
   }
 
+  private void refuseSlowHead() {
+    long headMs = millisSince(decoder.headBegunNanos());
+    if (headMs > limits.get().headerTimeoutMs()) {
+      logRefusal(
+          ErrorKind.REQUEST_TIMEOUT,
+          Optional.empty(),
+          Optional.of("head incomplete after " + headMs + " ms"));
+      refuseAndClose(ErrorKind.REQUEST_TIMEOUT);
+    }
+  }
+
+  private long millisSince(long nanos) {
+    return TimeUnit.NANOSECONDS.toMillis(context.clock().getAsLong() - nanos);
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     if (closing) {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerServer.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerServer.java
@@ -116,7 +116,7 @@
   private final class PipelineInitializer extends ChannelInitializer<Channel> {
     @Override
     protected void initChannel(Channel channel) {
-      RequestDecoder decoder = new RequestDecoder(limits.get().headerBytes());
+      RequestDecoder decoder = new RequestDecoder(limits.get().headerBytes(), context.clock());
       ResponseEncoder encoder = new ResponseEncoder();
       ActiveExchanges loopExchanges = exchangesOf(channel.eventLoop());
       CallerConnection connection =
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/RequestDecoder.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/RequestDecoder.java
@@ -7,20 +7,30 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
+import java.util.function.LongSupplier;
 
 /** Decodes requests and rejects those with ambiguous framing. */
 final class RequestDecoder extends HttpRequestDecoder {
   private static final int PART_LIMIT_BYTES = 65_536;
 
+  private final LongSupplier clock;
   private boolean inHead = true;
   private boolean headBegun;
+  private long headBegunNanos;
 
-  RequestDecoder(int headLimitBytes) {
+  /**
+   * Creates a decoder.
+   *
+   * @param headLimitBytes maximum length of a request's head
+   * @param clock the entry instance's monotonic clock, in nanoseconds
+   */
+  RequestDecoder(int headLimitBytes, LongSupplier clock) {
     super(
         new HttpDecoderConfig()
             .setMaxInitialLineLength(headLimitBytes)
             .setMaxHeaderSize(headLimitBytes)
             .setMaxChunkSize(PART_LIMIT_BYTES));
+    this.clock = clock;
   }
 
   /** Returns whether only a part of a request head has arrived. */
@@ -28,10 +38,18 @@
     return headBegun;
   }
 
+  /** Returns when the first byte of the latest request head arrived. */
+  long headBegunNanos() {
+    return headBegunNanos;
+  }
+
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
     if (inHead && in.isReadable()) {
-      headBegun = true;
+      if (!headBegun) {
+        headBegun = true;
+        headBegunNanos = clock.getAsLong();
+      }
       refuseFoldedLines(in);
     }
     int before = out.size();
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/CallerFramingTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/CallerFramingTest.java
@@ -179,4 +179,18 @@
       }
     }
   }
+
+  @Test
+  void requestWhoseHeadArrivesInPiecesAfterIdleTimeIsServed() throws Exception {
+    try (RawCaller caller = new RawCaller(entry.endpoint())) {
+      Thread.sleep(400);
+      caller.send("GET /listings/a HTTP/1.1\r\n");
+      Thread.sleep(150);
+      caller.send(HOST + "\r\n");
+
+      RawResponse response = caller.readResponse(false).orElseThrow();
+
+      assertThat(response.body()).isEqualTo("ok");
+    }
+  }
 }
