A response without a length is not complete if writing to its target shows a reset

What callers saw: on protocols that accept responses without a length, a truncated 200 framed as whole, if its connection was reset while the rest of the request was still being written and the reset was seen by the write first (reading paused for a slow caller, or both events in one round of the loop). Cause: only a failed write of the request's head failed the exchange. After a failed part of the body Netty closes the channel, and the decoder reports that end like one in order. Evidence: undelimitedResponseIsNotCompleteIfItsResetIsSeenByWriting failed with "expected: CONNECTION_LOST, but was: complete". Change: a part that fails with anything but a closed channel fails the exchange. The failure is queued before the notice that the channel is inactive, so the decoder's last content no longer reaches a receiver. A connection that the target closed in order is still a complete response.

The other tests of the class truncate responses, status checks and requests at every byte, with FIN and RST, on new and kept connections, streamed and buffered. They passed on the code before.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.nio.channels.ClosedChannelException;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.waxwingbeam.model.TargetId;
@@ -135,7 +136,31 @@
    */
   public void write(HttpContent content) {
     requestComplete |= content instanceof LastHttpContent;
-    channel.write(content);
+    int exchange = exchanges;
+    channel.write(content).addListener(future -> onPartWritten(exchange, future.cause()));
+  }
+
+  private void onPartWritten(int exchange, Throwable cause) {
+    // A connection that the target closed in order fails its pending parts with this exception.
+    boolean reset = cause != null && !(cause instanceof ClosedChannelException);
+    if (reset) {
+      failLater(exchange);
+    }
+  }
+
+  /**
+   * Fails an exchange whose request could not be written. This precedes the decoder's notice that
+   * the connection has ended, with which it would report an undelimited response as complete.
+   */
+  private void failLater(int exchange) {
+    channel
+        .eventLoop()
+        .execute(
+            () -> {
+              if (exchange == exchanges && receiver != null) {
+                fail(lostConnectionFailure());
+              }
+            });
   }
 
   /** Sends the written parts. */
@@ -330,13 +355,7 @@
       }
       hasWrittenBytes |= future.isSuccess();
       if (!future.isSuccess()) {
-        channel.eventLoop().execute(this::failCurrent);
-      }
-    }
-
-    private void failCurrent() {
-      if (exchange == exchanges && receiver != null) {
-        fail(lostConnectionFailure());
+        failLater(exchange);
       }
     }
   }
