Responses whose status line is outside the protocol are not passed on

What callers saw: status lines such as "HTTP/9.9 200 OK", "HTTP/1.1 2000 OK" or a NUL in the reason, byte for byte from a faulty target, and "+200" or "0200" as 200. These are bytes that are no answer in the protocol. Cause: the decoder of the HTTP library accepts any version and any integer. Evidence: startLinesOutsideTheProtocolAreNotPassedOn failed with "expected: 502 malformed-answer, but was: 200 whole" (HTTP/2.0).

malformedHeadsAndChunksAreNotPassedOn (lone LF, control bytes, lengths and chunk sizes) passed on the code before and stays as a guard.

--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/ResponseFramingTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/ResponseFramingTest.java
@@ -8,8 +8,10 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.waxwingbeam.caller.net.ExchangeContext;
 import org.waxwingbeam.model.Parameters;
 import org.waxwingbeam.tools.testing.EntryFixture;
 import org.waxwingbeam.tools.testing.HostileTarget;
@@ -60,6 +62,87 @@
     }
   }
 
+  @Test
+  void malformedHeadsAndChunksAreNotPassedOn() throws Exception {
+    String head = "HTTP/1.1 200 OK\r\n";
+    String chunked = head + "transfer-encoding: chunked\r\n\r\n";
+    assertNotPassedOn(
+        List.of(
+            PLAIN.replace("\r", ""),
+            PLAIN.replace("\r\n\r\n", "\n\r\n"),
+            PLAIN.replace("\r\n\r\n", "\r\n\n"),
+            PLAIN.replace("text/plain", "\0"),
+            PLAIN.replace("text/plain", "a\u0001b"),
+            PLAIN.replace("text/plain", "a\rb"),
+            PLAIN.replace("content-type", "content\0type"),
+            PLAIN.replace("content-length:", "content-length"),
+            PLAIN.replace("200 OK", "OK"),
+            PLAIN.replace(" 200 OK", ""),
+            "x" + PLAIN,
+            "\0" + PLAIN,
+            head + "content-length: 5\r\ncontent-length: 5\r\n\r\nwhole",
+            head + "content-length: 5, 5\r\n\r\nwhole",
+            head + "content-length: +5\r\n\r\nwhole",
+            head + "content-length: -5\r\n\r\nwhole",
+            head + "content-length: 1 5\r\n\r\nwhole",
+            head + "content-length: \r\n\r\nwhole",
+            head + "content-length: 99999999999999999999\r\n\r\nwhole",
+            chunked.replace("1.1", "1.0") + "5\r\nwhole\r\n0\r\n\r\n",
+            head
+                + "transfer-encoding: chunked\r\n"
+                + chunked.substring(head.length())
+                + "0\r\n\r\n",
+            "HTTP/1.1 103 Hints\r\ncontent-length: 5\r\n\r\nwhole" + PLAIN));
+    for (String body :
+        List.of(
+            "5\nwhole\r\n0\r\n\r\n",
+            "5;x\nwhole\r\n0\r\n\r\n",
+            "5\r\nwholex\r\n0\r\n\r\n",
+            "5\r\nwhole0\r\n\r\n",
+            "\r\n5\r\nwhole\r\n0\r\n\r\n",
+            "+5\r\nwhole\r\n0\r\n\r\n",
+            "-5\r\nwhole\r\n0\r\n\r\n",
+            "100000005\r\nwhole\r\n0\r\n\r\n")) {
+      assertWithMessage(body)
+          .that(outcomeOf(CloseDelimitedAdapter.protocols(), GET, chunked + body))
+          .isEqualTo("502 malformed-answer");
+      assertWithMessage(body)
+          .that(outcomeOf(connection -> connection.write(chunked + body)))
+          .isEqualTo("lost");
+    }
+  }
+
+  @Test
+  void startLinesOutsideTheProtocolAreNotPassedOn() throws Exception {
+    assertNotPassedOn(
+        Stream.of(
+                "HTTP/2.0 200 OK",
+                "HTTP/9.9 200 OK",
+                "HTTP/1.1 2000 OK",
+                "HTTP/1.1 +200 OK",
+                "HTTP/1.1 0200 OK",
+                "HTTP/1.1 999 OK",
+                "HTTP/1.1 020 OK",
+                "HTTP/1.1 200 O\0K")
+            .map(each -> PLAIN.replace("HTTP/1.1 200 OK", each))
+            .toList());
+    for (String startLine : List.of("HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.1 200 été")) {
+      String response = PLAIN.replace("HTTP/1.1 200 OK", startLine);
+      assertThat(outcomeOf(connection -> connection.write(response))).isEqualTo("200 whole");
+    }
+  }
+
+  private static void assertNotPassedOn(List<String> responses) throws IOException {
+    for (ExchangeContext.Protocols protocols :
+        List.of(ExchangeContext.Protocols.NATIVE, CloseDelimitedAdapter.protocols())) {
+      for (String response : responses) {
+        assertWithMessage("%s, buffer %s", response, protocols.responseBufferBytes())
+            .that(outcomeOf(protocols, GET, response))
+            .isEqualTo("502 malformed-answer");
+      }
+    }
+  }
+
   @Test
   void provisionalResponsesAreSkipped() throws Exception {
     String provisional = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nlink: </a>\r\n\r\n";
@@ -160,6 +243,17 @@
    * Returns what a caller gets if the target responds by a script and then closes the connection.
    */
   private static String outcomeOf(HostileTarget.Script respond) throws IOException {
+    return describe(exchange(ExchangeContext.Protocols.NATIVE, GET, respond));
+  }
+
+  private static String outcomeOf(
+      ExchangeContext.Protocols protocols, String request, String response) throws IOException {
+    return describe(exchange(protocols, request, connection -> connection.write(response)));
+  }
+
+  private static Optional<RawResponse> exchange(
+      ExchangeContext.Protocols protocols, String request, HostileTarget.Script respond)
+      throws IOException {
     HostileTarget.Script script =
         connection -> {
           if (connection.readAndCountRun().isPresent()) {
@@ -167,10 +261,16 @@
           }
         };
     try (HostileTarget target = new HostileTarget(script);
-        EntryFixture entry = entry(target);
+        EntryFixture entry =
+            new EntryFixture(
+                new RotatingDispatcher(List.of(target.id())),
+                Parameters.NONE,
+                EntryFixture.ORDINARY_LIMITS,
+                EntryFixture.InstanceServices.unshared(),
+                protocols);
         RawCaller caller = new RawCaller(entry.endpoint())) {
-      caller.send(GET);
-      return describe(caller.readResponse(false));
+      caller.send(request);
+      return caller.readResponse(request.startsWith("HEAD"));
     }
   }
 
