Responses with another transfer encoding than chunked are not passed on

What callers saw: on protocols that accept responses without a length, a 200 with "Transfer-Encoding: gzip, chunked" or "xchunked", and with a Content-Length added beside it: an encoded body, or the bytes of the chunks as the body, framed as whole. Cause: such a response counted as one without a length, which these protocols accept. Evidence: responsesWithOtherTransferEncodingsAreNotPassedOn failed with "expected: 502 malformed-answer, but was: 200 whole". Change: it is malformed on every protocol. A request that may be repeated goes to another target, others get 502.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/ResponseFraming.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/ResponseFraming.java
@@ -10,18 +10,25 @@
 final class ResponseFraming {
   private ResponseFraming() {}
 
+  /**
+   * Returns whether the response has a transfer encoding other than {@code chunked}, whose body
+   * this instance cannot decode.
+   */
+  static boolean hasUnknownEncoding(HttpResponse head) {
+    List<String> encodings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+    return !encodings.isEmpty()
+        && (encodings.size() > 1
+            || !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.getFirst()));
+  }
+
   /**
    * Returns whether the response states its length or is chunked. A response that ends with its
    * connection is not delimited: a truncated one could not be distinguished from a complete one.
    */
   static boolean isDelimited(HttpResponse head, boolean toHeadRequest) {
-    List<String> encodings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-    if (!encodings.isEmpty()) {
-      return encodings.size() == 1
-          && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.getFirst());
-    }
     return toHeadRequest
         || hasNoBody(head.status())
+        || head.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
         || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
   }
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
@@ -239,7 +239,7 @@
   }
 
   private boolean isExpected(HttpResponse head) {
-    if (!hasExpectedId(head)) {
+    if (!hasExpectedId(head) || ResponseFraming.hasUnknownEncoding(head)) {
       return false;
     }
     boolean delimited = ResponseFraming.isDelimited(head, toHeadRequest);
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/ResponseFramingTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/ResponseFramingTest.java
@@ -112,6 +112,19 @@
     }
   }
 
+  @Test
+  void responsesWithOtherTransferEncodingsAreNotPassedOn() throws Exception {
+    String head = "HTTP/1.1 200 OK\r\ntransfer-encoding: ";
+    assertNotPassedOn(
+        List.of(
+            head + "gzip, chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+            head + "chunked, gzip\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+            head + "xchunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+            head + "gzip\r\n\r\nwhole",
+            head + "identity\r\n\r\nwhole",
+            head + "identity\r\ncontent-length: 5\r\n\r\nwhole"));
+  }
+
   @Test
   void startLinesOutsideTheProtocolAreNotPassedOn() throws Exception {
     assertNotPassedOn(
