Callers get the responses of HTTP/1.0 targets as HTTP/1.1

What callers saw: "HTTP/1.0 200 OK" on an HTTP/1.1 connection, also with chunked transfer encoding if the response had no length and exceeded the buffer. A caller that ignores that encoding in HTTP/1.0 takes the chunk sizes as a part of the body. Cause: the status line of the target was passed on with its version, while framing and keep-alive are this instance's own. Evidence: olderResponseIsPassedOnWithTheVersionOfItsFraming failed with "expected: HTTP/1.1 200 OK, but was: HTTP/1.0 200 OK". Change: the head is written with the version that the framing follows.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerConnection.java
@@ -266,8 +266,9 @@
     channel.config().setAutoRead(closing || (exchangeWantsBody && pending.isEmpty()));
   }
 
-  /** Writes the head of a target's response. */
+  /** Writes the head of a target's response, with the version in which the caller is answered. */
   void writeHead(HttpResponse head) {
+    head.setProtocolVersion(HttpVersion.HTTP_1_1);
     keepAlive &= exchange.isRequestComplete() || bodyDiscardable;
     setConnectionHeader(head);
     channel.write(head);
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/ResponseFramingTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/ResponseFramingTest.java
@@ -145,6 +145,22 @@
     }
   }
 
+  @Test
+  void olderResponseIsPassedOnWithTheVersionOfItsFraming() throws Exception {
+    String head = "HTTP/1.0 200 OK\r\n";
+    String body = "long answer ".repeat(200);
+    for (String response :
+        List.of(
+            head + "content-length: %d\r\n\r\n%s".formatted(body.length(), body),
+            head + "\r\n" + body)) {
+      RawResponse received =
+          exchange(CloseDelimitedAdapter.protocols(), GET, connection -> connection.write(response))
+              .orElseThrow();
+      assertThat(received.message().requestLine()).isEqualTo("HTTP/1.1 200 OK");
+      assertThat(received.body()).isEqualTo(body);
+    }
+  }
+
   private static void assertNotPassedOn(List<String> responses) throws IOException {
     for (ExchangeContext.Protocols protocols :
         List.of(ExchangeContext.Protocols.NATIVE, CloseDelimitedAdapter.protocols())) {
