Buffered responses to HEAD and 304 get no invented Content-Length

What callers saw: "Content-Length: 0" in the response to a HEAD request, or in a 304, if the target had sent no length. There it states the length of another response, the one to GET. Cause: the length of the buffered (empty) body was set on every response without framing. Evidence: responseWithoutBodyGetsNoInventedLength failed with "expected to be empty, but was present with value: 0". Change: a response that has no body by definition is passed on without one.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/BufferedResponse.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/BufferedResponse.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.ArrayList;
 import java.util.List;
@@ -48,10 +49,14 @@
 
   /**
    * Adds framing to a response without any: a content length if it is buffered completely,
-   * otherwise chunked transfer encoding.
+   * otherwise chunked transfer encoding. A response that has no body by definition gets none,
+   * because its length would state that of another body.
    */
-  void setFraming(boolean complete) {
-    if (HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)) {
+  void setFraming(boolean complete, boolean toHeadRequest) {
+    boolean hasNoBody = toHeadRequest || head.status().equals(HttpResponseStatus.NOT_MODIFIED);
+    if (hasNoBody
+        || HttpUtil.isContentLengthSet(head)
+        || HttpUtil.isTransferEncodingChunked(head)) {
       return;
     }
     if (complete) {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
@@ -359,11 +360,15 @@
   /** Sends the buffered part of a response to the caller; the rest is passed on as it arrives. */
   private void deliverBuffered(TargetAttempt attempt, boolean complete) {
     BufferedResponse buffered = attempt.takeBufferedResponse();
-    buffered.setFraming(complete);
+    buffered.setFraming(complete, isHeadRequest());
     startResponse(attempt, buffered.head());
     buffered.drainTo(this::forward);
   }
 
+  private boolean isHeadRequest() {
+    return head.method().equals(HttpMethod.HEAD);
+  }
+
   @Override
   public void onReadComplete(TargetAttempt attempt) {
     if (attempt == respondingAttempt) {
@@ -395,7 +400,7 @@
     recordAttempt(attempt, "target-failed");
     poison.onResponse();
     BufferedResponse buffered = attempt.takeBufferedResponse();
-    buffered.setFraming(true);
+    buffered.setFraming(true, isHeadRequest());
     failedResponse.ifPresentOrElse(
         earlier -> buffered.close(), () -> failedResponse = Optional.of(buffered));
     AttemptFailure failure = AttemptFailure.of(RetryReason.TARGET_FAILED);
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/ResponseFramingTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/ResponseFramingTest.java
@@ -161,6 +161,27 @@
     }
   }
 
+  @Test
+  void responseWithoutBodyGetsNoInventedLength() throws Exception {
+    RawResponse toHead =
+        exchange(
+                CloseDelimitedAdapter.protocols(),
+                GET.replace("GET", "HEAD"),
+                connection -> connection.write("HTTP/1.1 200 OK\r\n\r\n"))
+            .orElseThrow();
+    RawResponse unchanged =
+        exchange(
+                CloseDelimitedAdapter.protocols(),
+                GET,
+                connection -> connection.write("HTTP/1.1 304 Not Modified\r\n\r\n"))
+            .orElseThrow();
+
+    assertThat(toHead.status()).isEqualTo(200);
+    assertThat(toHead.header("content-length")).isEmpty();
+    assertThat(unchanged.status()).isEqualTo(304);
+    assertThat(unchanged.header("content-length")).isEmpty();
+  }
+
   private static void assertNotPassedOn(List<String> responses) throws IOException {
     for (ExchangeContext.Protocols protocols :
         List.of(ExchangeContext.Protocols.NATIVE, CloseDelimitedAdapter.protocols())) {
