A response that drips does not outlive its route's deadline

Callers of a route that is not a transfer could be held for ever once the head had been passed on: the total duration was checked only for transfers, all others were cut only when they stalled. A target that sends a byte now and then, or chunks without end, never stalls.

Now a response that is no transfer must be complete 200 ms after the deadline of its route, counted from the arrival of the request; the caller's own earlier deadline still doesn't cut a response that has begun. The 200 ms let a response that began just in time be completed. Transfers keep their two limits.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeTimeouts.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeTimeouts.java
@@ -17,16 +17,20 @@
     REQUEST_STALLED,
     /** No part of the response body was transferred within the idle limit. */
     ANSWER_STALLED,
-    /** The transfer exceeds its total duration. */
+    /** The response is not complete after the total duration allowed. */
     ANSWER_TOO_LONG
   }
 
   private static final long NANOS_PER_MS = 1_000_000;
 
+  /** Time after the deadline in which a response that has begun by then may be completed. */
+  private static final long COMPLETION_GRACE_NANOS = 200 * NANOS_PER_MS;
+
   private final boolean transfer;
   private final long headTimeoutNanos;
   private final long idleTimeoutNanos;
   private final long totalTimeoutNanos;
+  private final long responseTimeoutNanos;
   private final long startNanos;
 
   private long headDeadlineNanos;
@@ -41,6 +45,8 @@
         Math.min(deadlineMs, metadata.deadlineMs().orElse(deadlineMs)) * NANOS_PER_MS;
     idleTimeoutNanos = policy.value(Parameter.TRANSFER_IDLE) * NANOS_PER_MS;
     totalTimeoutNanos = policy.value(Parameter.TRANSFER_TOTAL) * NANOS_PER_MS;
+    responseTimeoutNanos =
+        transfer ? totalTimeoutNanos : deadlineMs * NANOS_PER_MS + COMPLETION_GRACE_NANOS;
     startNanos = nowNanos;
     lastProgressNanos = nowNanos;
     headDeadlineNanos = nowNanos + headTimeoutNanos;
@@ -101,7 +107,7 @@
     if (stalled) {
       return Violation.ANSWER_STALLED;
     }
-    return transfer && nowNanos - startNanos > totalTimeoutNanos
+    return nowNanos - startNanos > responseTimeoutNanos
         ? Violation.ANSWER_TOO_LONG
         : Violation.NONE;
   }
