A body of no use is bounded: refusals, and responses to status checks

A refusal whose body never ends held its connection, and a permit of the target's pool, for ever: the attempt had ended, so no timer and no limit applied to what was discarded. A status check ended after 250 ms, but read whatever arrived until then.

Now the connection discards at most 64 KiB of a body that nobody uses; that of a refusal must end within a second of its first read. Sound refusals arrive in one read and need no timer. A connection that is closed so is logged, one line a second for each target with the number of faults that were not logged.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/TargetAttempt.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/TargetAttempt.java
@@ -246,8 +246,10 @@
     switch (context.targetAdapter().classify(head)) {
       case ResponseDisposition.Deliverable deliverable -> deliver(head, false);
       case ResponseDisposition.Failed failed -> deliver(head, true);
-      case ResponseDisposition.Refused refusal ->
-          failAndDiscard(refusalOutcome(refusal.reason()), refusal.reason());
+      case ResponseDisposition.Refused refusal -> {
+        connection.discardRest();
+        failAndDiscard(refusalOutcome(refusal.reason()), refusal.reason());
+      }
       case ResponseDisposition.Unusable unusable -> {
         connection.abort();
         failAndDiscard(AttemptOutcome.FAILURE, RetryReason.MALFORMED_ANSWER);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
@@ -36,6 +36,12 @@
   /** Maximum idle time of a connection whose target has not stated a limit. */
   private static final long DEFAULT_IDLE_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(8);
 
+  /** Maximum length of a body that is of no use, which is discarded to keep the connection. */
+  private static final long DISCARD_LIMIT_BYTES = 65_536;
+
+  /** Maximum time in which such a body must have ended after the first read. */
+  private static final long DISCARD_LIMIT_MS = 1_000;
+
   private final TargetId target;
   private final TargetPool pool;
   private final ResponseDecoder decoder;
@@ -50,9 +56,12 @@
   private boolean responseStarted;
   private boolean skippingInformational;
   private boolean reusable;
+  private boolean discarding;
+  private boolean discardTimed;
   private boolean echoesRequestId;
   private long idleLimitNanos = DEFAULT_IDLE_LIMIT_NANOS;
   private long idleSinceNanos;
+  private long bodyBytesLeft;
   private int exchanges;
 
   TargetConnection(
@@ -109,6 +118,7 @@
    */
   public void sendStatusCheck(HttpRequest head, ResponseReceiver responseReceiver) {
     initExchange(head, Optional.empty(), responseReceiver);
+    bodyBytesLeft = DISCARD_LIMIT_BYTES;
     write(LastHttpContent.EMPTY_LAST_CONTENT);
     flush();
   }
@@ -122,6 +132,9 @@
     hasWrittenBytes = false;
     responseStarted = false;
     reusable = false;
+    discarding = false;
+    discardTimed = false;
+    bodyBytesLeft = Long.MAX_VALUE;
     exchanges++;
     decoder.expectResponse(toHeadRequest);
     channel.config().setAutoRead(true);
@@ -161,6 +174,30 @@
     channel.config().setAutoRead(reading);
   }
 
+  /**
+   * Discards the rest of the response, which the receiver still gets. The connection is closed
+   * unless the rest is short and arrives soon.
+   */
+  public void discardRest() {
+    discarding = true;
+    bodyBytesLeft = DISCARD_LIMIT_BYTES;
+  }
+
+  private void scheduleDiscardEnd() {
+    discardTimed = true;
+    int exchange = exchanges;
+    channel
+        .eventLoop()
+        .schedule(
+            () -> {
+              if (exchange == exchanges && receiver != null) {
+                failAndLog("a response of no use has not ended after " + DISCARD_LIMIT_MS + " ms");
+              }
+            },
+            DISCARD_LIMIT_MS,
+            TimeUnit.MILLISECONDS);
+  }
+
   /** Aborts the exchange and closes the connection. The receiver is not called any more. */
   public void abort() {
     receiver = null;
@@ -243,7 +280,11 @@
     } else if (skippingInformational) {
       skippingInformational = !(content instanceof LastHttpContent);
       content.release();
+    } else if (content.content().readableBytes() > bodyBytesLeft) {
+      content.release();
+      failAndLog("a body of no use exceeds " + DISCARD_LIMIT_BYTES + " bytes");
     } else {
+      bodyBytesLeft -= content.content().readableBytes();
       boolean isLast = content instanceof LastHttpContent;
       receiver.onContent(content);
       // The receiver may have aborted the exchange.
@@ -264,6 +305,11 @@
     finished.onComplete();
   }
 
+  private void failAndLog(String reason) {
+    pool.logFault(reason);
+    fail(ExchangeFailure.MALFORMED_ANSWER);
+  }
+
   private void fail(ExchangeFailure failure) {
     ResponseReceiver failed = receiver;
     receiver = null;
@@ -285,6 +331,9 @@
     if (receiver != null) {
       receiver.onReadComplete();
     }
+    if (receiver != null && discarding && !discardTimed) {
+      scheduleDiscardEnd();
+    }
   }
 
   @Override
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetPool.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetPool.java
@@ -7,7 +7,9 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.waxwingbeam.logging.EventLog;
 import org.waxwingbeam.model.TargetId;
 
 /**
@@ -17,6 +19,11 @@
 // A failed write or close is handled in channelInactive.
 @SuppressWarnings("FutureReturnValueIgnored")
 final class TargetPool {
+  private static final EventLog LOG = new EventLog(TargetPool.class);
+
+  /** Minimum time between two log lines about faults of a target. */
+  private static final long LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   /** Opens a connection on an event loop and passes it to the receiver, or empty if that failed. */
   interface Opener {
     void open(TargetPool pool, EventLoop loop, Consumer<Optional<TargetConnection>> receiver);
@@ -30,6 +37,8 @@
   private final Map<EventLoop, Deque<TargetConnection>> idle = new HashMap<>();
   private final Deque<Waiter> waiters = new ArrayDeque<>();
   private int openCount;
+  private Optional<Long> lastLogNanos = Optional.empty();
+  private int unloggedFaults;
 
   TargetPool(TargetId target, Opener opener) {
     this.target = target;
@@ -111,6 +120,22 @@
     next.loop().execute(() -> opener.open(this, next.loop(), next.receiver()));
   }
 
+  /** Logs why a connection is closed; faults that follow closely are only counted. */
+  void logFault(String reason) {
+    long now = System.nanoTime();
+    int unlogged;
+    synchronized (lock) {
+      if (lastLogNanos.filter(last -> now - last < LOG_INTERVAL_NANOS).isPresent()) {
+        unloggedFaults++;
+        return;
+      }
+      lastLogNanos = Optional.of(now);
+      unlogged = unloggedFaults;
+      unloggedFaults = 0;
+    }
+    LOG.info("connection-faulty", "target", target, "reason", reason, "not-logged", unlogged);
+  }
+
   int openConnections() {
     synchronized (lock) {
       return openCount;
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/testing/EntryFixture.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/testing/EntryFixture.java
@@ -58,12 +58,14 @@
   public static final EntrySettings.CallerLimits ORDINARY_LIMITS =
       new EntrySettings.CallerLimits(16_384, 5_000, 60_000);
 
+  private static final int CONNECT_TIMEOUT_MS = 1_000;
+
   private static final TemplateName TEMPLATE = new TemplateName("orders");
 
   private final EventLoopGroup eventLoops =
       new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
   private final PrometheusRegistry registry = new PrometheusRegistry();
-  private final TargetConnections connections = new TargetConnections();
+  private final TargetConnections connections;
   private final AtomicBoolean draining = new AtomicBoolean();
   private final CallerServer server;
 
@@ -80,6 +82,25 @@
       Parameters parameters,
       EntrySettings.CallerLimits limits,
       InstanceServices shared) {
+    this(dispatcher, parameters, limits, shared, ExchangeContext.Protocols.NATIVE);
+  }
+
+  /**
+   * Starts the entry instance on a free port, with other protocols.
+   *
+   * @param dispatcher chooses targets
+   * @param parameters the template's parameters
+   * @param limits limits on callers' requests
+   * @param shared the instance's name and the services it shares with other entry instances
+   * @param protocols the protocols of callers and targets
+   */
+  public EntryFixture(
+      Dispatcher dispatcher,
+      Parameters parameters,
+      EntrySettings.CallerLimits limits,
+      InstanceServices shared,
+      ExchangeContext.Protocols protocols) {
+    connections = new TargetConnections(protocols.target(), CONNECT_TIMEOUT_MS);
     AppliedConfiguration applied = new AppliedConfiguration();
     applied.applyIfNewer(configuration(parameters));
     ExchangeContext context =
@@ -87,7 +108,7 @@
             new SharedDispatcher(dispatcher, System::nanoTime),
             connections,
             new ClassifierCache(applied),
-            ExchangeContext.Protocols.NATIVE,
+            protocols,
             () -> Optional.of(ErrorKind.SHUTTING_DOWN).filter(kind -> draining.get()),
             limit -> limit,
             new RetryBudgets(),
