Bytes of a response that are not body are bounded

A target could send blank lines, interim responses or chunk extensions without end: the decoder bounds each line and each head, but nothing bounded their number. Requests were held until their deadline, for chunk extensions for ever, and an event loop was kept busy with them.

Now the decoder counts the bytes received and the bytes of body, and fails a response with more than 256 KiB, and 16 for each byte of body, that are not body (a chunk of one byte needs five). The attempt fails as a malformed answer, the connection is closed and the reason is logged.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/ResponseDecoder.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/ResponseDecoder.java
@@ -1,15 +1,33 @@
 package org.waxwingbeam.target.net;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
-/** Decodes responses and rejects those with ambiguous framing. */
+/**
+ * Decodes responses and rejects those with ambiguous framing and those with too many bytes that are
+ * not body.
+ */
 final class ResponseDecoder extends HttpResponseDecoder {
   private static final int HEAD_LIMIT_BYTES = 65_536;
   private static final int PART_LIMIT_BYTES = 65_536;
 
+  /**
+   * Maximum number of bytes of a response that are not body: interim responses, the head, chunk
+   * framing, the trailer, and blank lines and control characters before them.
+   */
+  private static final long OVERHEAD_LIMIT_BYTES = 262_144;
+
+  /** Further bytes allowed for each byte of body. A chunk of one byte needs five. */
+  private static final long OVERHEAD_BYTES_PER_BODY_BYTE = 16;
+
   private boolean forHeadRequest;
+  private long receivedBytes;
+  private long bodyBytes;
 
   ResponseDecoder() {
     super(
@@ -22,6 +40,27 @@
   /** Sets whether the next response belongs to a HEAD request and therefore has no body. */
   void expectResponse(boolean toHeadRequest) {
     forHeadRequest = toHeadRequest;
+    receivedBytes = 0;
+    bodyBytes = 0;
+  }
+
+  /** Counts a part of the current response's body. */
+  void countBody(HttpContent content) {
+    bodyBytes += content.content().readableBytes();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+    if (message instanceof ByteBuf bytes) {
+      receivedBytes += bytes.readableBytes();
+    }
+    super.channelRead(ctx, message);
+    long overheadLimit = OVERHEAD_LIMIT_BYTES + OVERHEAD_BYTES_PER_BODY_BYTE * bodyBytes;
+    if (receivedBytes - bodyBytes > overheadLimit) {
+      ctx.fireExceptionCaught(
+          new TooLongFrameException(
+              "%d bytes received, of which only %d are body".formatted(receivedBytes, bodyBytes)));
+    }
   }
 
   /** Returns whether bytes have been received that are not part of a decoded message. */
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
@@ -285,6 +285,7 @@
       failAndLog("a body of no use exceeds " + DISCARD_LIMIT_BYTES + " bytes");
     } else {
       bodyBytesLeft -= content.content().readableBytes();
+      decoder.countBody(content);
       boolean isLast = content instanceof LastHttpContent;
       receiver.onContent(content);
       // The receiver may have aborted the exchange.
@@ -307,7 +308,11 @@
 
   private void failAndLog(String reason) {
     pool.logFault(reason);
-    fail(ExchangeFailure.MALFORMED_ANSWER);
+    if (receiver == null) {
+      channel.close();
+    } else {
+      fail(ExchangeFailure.MALFORMED_ANSWER);
+    }
   }
 
   private void fail(ExchangeFailure failure) {
@@ -353,7 +358,9 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    if (receiver != null && cause instanceof io.netty.handler.codec.DecoderException) {
+    if (channel.isActive() && cause instanceof io.netty.handler.codec.DecoderException) {
+      failAndLog(cause.getMessage());
+    } else if (receiver != null && cause instanceof io.netty.handler.codec.DecoderException) {
       fail(ExchangeFailure.MALFORMED_ANSWER);
     } else if (receiver != null) {
       // The decoder would report an undelimited response as complete here.
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/EndlessResponseTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/EndlessResponseTest.java
@@ -75,14 +75,17 @@
 
   /** The part of a response that never ends: what is sent first, and what is repeated. */
   enum Part {
+    BLANK_LINES("", "\r\n"),
     CONTROL_CHARACTERS("", "\u0001"),
     STATUS_LINE_TEXT("HTTP/1.1 200 ", "a"),
+    INTERIM_RESPONSES("", "HTTP/1.1 103 Hints\r\n\r\n"),
     INTERIM_HEAD("HTTP/1.1 103 Hints\r\n", "a: b\r\n"),
     INTERIM_CONTENT("HTTP/1.1 103 Hints\r\ncontent-length: 1000000000\r\n\r\n", "x"),
     HEAD_LINES(STATUS_LINE, "a: b\r\n"),
     HEAD_VALUE(STATUS_LINE + "a: ", "b"),
     CHUNK_SIZE(CHUNKED, "0"),
     CHUNK_EXTENSION(CHUNKED + "1;a=", "b"),
+    CHUNK_EXTENSIONS(CHUNKED, "1;a=" + "b".repeat(1_000) + "\r\nx\r\n"),
     TRAILER_LINES(CHUNKED + "0\r\n", "a: b\r\n"),
     TRAILER_VALUE(CHUNKED + "0\r\na: ", "b"),
     SMALL_CHUNKS(CHUNKED, "1\r\nx\r\n"),
