An earlier refusal without an id, written once more, is no longer believed for the next request

Callers were told "not run, try again" for a request that a target was running, or the request ran at a second target.

Cause: a response without a request id was accepted as long as its connection had never echoed one, for instance after a status check or after a refusal without an id. If the target wrote that refusal once more, it counted as the refusal of the next request.

Change: a refusal without an id is believed only as the first response of its connection, where nothing earlier can be repeated; its connection is then closed. Later ones end as malformed-answer, which may have run. Refusals that repeat the id are believed and keep their connection, as before.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
@@ -229,11 +229,29 @@
     if (requestId.isEmpty()) {
       return echoed.isEmpty();
     }
-    if (echoed.isEmpty() ? echoesRequestId : !echoed.equals(requestId)) {
-      return false;
+    if (echoed.isEmpty()) {
+      return !echoesRequestId && isExpectedWithoutId(head);
     }
-    echoesRequestId = echoed.isPresent();
-    return true;
+    echoesRequestId |= echoed.equals(requestId);
+    return echoed.equals(requestId);
+  }
+
+  /**
+   * Returns whether a response without a request id may be the expected one. A refusal may be an
+   * earlier one that the target has written again, unless it is the first response of the
+   * connection.
+   */
+  private boolean isExpectedWithoutId(HttpResponse head) {
+    if (!isRefusal(head)) {
+      return true;
+    }
+    // The next refusal without an id can be believed only on a new connection.
+    reusable = false;
+    return exchanges == 1;
+  }
+
+  private boolean isRefusal(HttpResponse head) {
+    return adapter.classify(head) instanceof ResponseDisposition.Refused;
   }
 
   private void onContent(HttpContent content) {
