The response to a status check is no longer taken for the response to the next request

Callers of the platform got the status and body of a status check as the response to their request.

Cause: the response to a status check has no request id. On a connection that had never echoed one, that response, written once more, was accepted as the response to the next request.

Change: once a connection has carried a status check, a response to a request must repeat its id. Only targets whose status is checked are concerned; these echo the id in every response to a request.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
@@ -50,7 +50,7 @@
   private boolean responseStarted;
   private boolean skippingInformational;
   private boolean reusable;
-  private boolean echoesRequestId;
+  private boolean requiresEchoedId;
   private long idleLimitNanos = DEFAULT_IDLE_LIMIT_NANOS;
   private long idleSinceNanos;
   private int exchanges;
@@ -108,6 +108,8 @@
    * @param responseReceiver receives the response
    */
   public void sendStatusCheck(HttpRequest head, ResponseReceiver responseReceiver) {
+    // Its response may be written again, and has no id that would distinguish it.
+    requiresEchoedId = true;
     initExchange(head, Optional.empty(), responseReceiver);
     write(LastHttpContent.EMPTY_LAST_CONTENT);
     flush();
@@ -230,9 +232,9 @@
       return echoed.isEmpty();
     }
     if (echoed.isEmpty()) {
-      return !echoesRequestId && isExpectedWithoutId(head);
+      return !requiresEchoedId && isExpectedWithoutId(head);
     }
-    echoesRequestId |= echoed.equals(requestId);
+    requiresEchoedId |= echoed.equals(requestId);
     return echoed.equals(requestId);
   }
 
