A refusal that names two requests is no longer believed

Callers were told "not run, try again" for a request that ran, if a target's refusal had the id of that request and a second, earlier id.

Cause: only the first id of a response was read.

Empty ids and refusals that name only an earlier request were refused before already, also after 100 Continue (refusalWithEmptyIdIsNotBelieved, refusalThatArrivesLateIsNotBelievedForTheRequestThatIsRunning).

The same id twice still counts as one.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/NativeTargetAdapter.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/NativeTargetAdapter.java
@@ -26,7 +26,7 @@
 
   @Override
   public Optional<String> echoedRequestId(HttpHeaders headers) {
-    return Optional.ofNullable(headers.get(TargetProtocol.REQUEST_ID_HEADER));
+    return RequestIdHeader.combinedValue(headers, TargetProtocol.REQUEST_ID_HEADER);
   }
 
   @Override
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/RepeatedRefusalTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/RepeatedRefusalTest.java
@@ -97,6 +97,25 @@
     }
   }
 
+  @Test
+  void refusalThatNamesTwoRequestsIsNotBelieved() throws Exception {
+    for (String other : List.of("entry-1-0", "")) {
+      HostileTarget.Script script =
+          connection -> {
+            String id = id(connection.readAndCountRun());
+            String second = "\r\n%s: %s\r\nconnection".formatted(ID_HEADER, other);
+            connection.write(refusal(id).replace("\r\nconnection", second));
+          };
+      try (HostileTarget target = new HostileTarget(script);
+          EntryFixture entry = entry(target);
+          RawCaller caller = new RawCaller(entry.endpoint())) {
+        assertWithMessage("id %s", other)
+            .that(outcome(caller, "first"))
+            .isEqualTo("malformed-answer unknown");
+      }
+    }
+  }
+
   @Test
   void refusalWithEmptyIdIsNotBelieved() throws Exception {
     HostileTarget.Script script =
