A retry doesn't go over the connection on which its request was refused

Callers were told "not run, try again" for a request that ran at the only target of its service.

Cause: a retry has the id of its request. The only target of a service gets it again, and it could go over a connection on which the target had refused it: the third attempt over that of the first, or at the connection limit the attempt that waited for it. The refusal, written once more, named the expected id.

Evidence: RepeatedRefusalTest, refusalIsNotBelievedForRetryOfItsRequestOnTheSameConnection and ...ForRetryThatWaitedForItsConnection, before: "targets-refused no" for a request that ran once, and twice (expected 0).

Change: a connection remembers the last 64 requests that were refused on it. The pool gives a request another connection or opens one; only at the connection limit is a connection closed for it. This also covers a caller that uses a request id again. The real refusal of a retry is believed as before.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -155,7 +155,7 @@
     int limit = (int) policy.value(Parameter.CONNECTION_LIMIT);
     TargetAttempt attempt =
         new TargetAttempt(
-            context, this, request, context.connectionLimit().applyAsInt(limit), loop);
+            context, this, request, requestId, context.connectionLimit().applyAsInt(limit), loop);
     active.add(attempt);
     attempt.start();
   }
@@ -296,7 +296,7 @@
     }
     attempt.target().ifPresent(usedTargets::add);
     caller.continueIfExpected();
-    attempt.send(outgoingHead(attempt), requestId, body);
+    attempt.send(outgoingHead(attempt), body);
     discardSentBody();
     updateRequestReading();
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/TargetAttempt.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/TargetAttempt.java
@@ -59,6 +59,7 @@
   private final ExchangeContext context;
   private final Listener listener;
   private final DispatchRequest request;
+  private final String requestId;
   private final int connectionLimit;
   private final EventLoop loop;
 
@@ -80,11 +81,13 @@
       ExchangeContext context,
       Listener listener,
       DispatchRequest request,
+      String requestId,
       int connectionLimit,
       EventLoop loop) {
     this.context = context;
     this.listener = listener;
     this.request = request;
+    this.requestId = requestId;
     this.connectionLimit = connectionLimit;
     sentNanos = context.clock().getAsLong();
     this.loop = loop;
@@ -116,7 +119,9 @@
       reportCompletion(AttemptOutcome.CANCELLED);
       return;
     }
-    context.connections().acquire(target, connectionLimit, loop, this::onConnection);
+    context
+        .connections()
+        .acquire(target, Optional.of(requestId), connectionLimit, loop, this::onConnection);
   }
 
   private void onConnection(Optional<TargetConnection> found) {
@@ -131,7 +136,7 @@
   }
 
   /** Sends the head and the parts of the body that have arrived so far. */
-  void send(HttpRequest head, String requestId, RequestBody body) {
+  void send(HttpRequest head, RequestBody body) {
     sentNanos = context.clock().getAsLong();
     sending = true;
     connection.startExchange(head, requestId, this);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
@@ -14,7 +14,9 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.LinkedHashSet;
 import java.util.Optional;
+import java.util.SequencedSet;
 import java.util.concurrent.TimeUnit;
 import org.waxwingbeam.model.TargetId;
 
@@ -36,10 +38,14 @@
   /** Maximum idle time of a connection whose target has not stated a limit. */
   private static final long DEFAULT_IDLE_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(8);
 
+  /** Number of refused requests that a connection remembers; the oldest is forgotten first. */
+  private static final int REFUSED_ID_LIMIT = 64;
+
   private final TargetId target;
   private final TargetPool pool;
   private final ResponseDecoder decoder;
   private final TargetAdapter adapter;
+  private final SequencedSet<String> refusedIds = new LinkedHashSet<>();
   private Channel channel;
 
   private ResponseReceiver receiver;
@@ -86,6 +92,16 @@
     return channel.isActive() && System.nanoTime() - idleSinceNanos < idleLimitNanos;
   }
 
+  /**
+   * Returns whether the connection may carry a request. Where it has been refused before, that
+   * refusal, written again, would look like a refusal of its retry.
+   *
+   * @param id the request id, empty for a status check
+   */
+  boolean mayCarry(Optional<String> id) {
+    return id.isEmpty() || !refusedIds.contains(id.get());
+  }
+
   Channel channel() {
     return channel;
   }
@@ -234,8 +250,14 @@
     if (echoed.isEmpty()) {
       return !requiresEchoedId && isExpectedWithoutId(head);
     }
-    requiresEchoedId |= echoed.equals(requestId);
-    return echoed.equals(requestId);
+    if (!echoed.equals(requestId)) {
+      return false;
+    }
+    requiresEchoedId = true;
+    if (isRefusal(head)) {
+      rememberRefusal(echoed.get());
+    }
+    return true;
   }
 
   /**
@@ -252,6 +274,13 @@
     return exchanges == 1;
   }
 
+  private void rememberRefusal(String id) {
+    refusedIds.add(id);
+    if (refusedIds.size() > REFUSED_ID_LIMIT) {
+      refusedIds.removeFirst();
+    }
+  }
+
   private boolean isRefusal(HttpResponse head) {
     return adapter.classify(head) instanceof ResponseDisposition.Refused;
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnections.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnections.java
@@ -19,7 +19,8 @@
  * Pools of connections to all targets, with a limit per target.
  *
  * <pre>{@code
- * connections.acquire(target, limit, loop, found -> found.ifPresentOrElse(this::send, this::fail));
+ * connections.acquire(
+ *     target, requestId, limit, loop, found -> found.ifPresentOrElse(this::send, this::fail));
  * }</pre>
  *
  * @since 0.1.0
@@ -54,16 +55,22 @@
    * Takes an idle connection or opens a new one. At the limit, waits until one becomes free.
    *
    * @param target the target
+   * @param requestId the id of the request to send, empty for a status check; a connection on which
+   *     the target has refused this request is not taken
    * @param limit maximum number of connections of this process to the target, at least 1
    * @param loop the event loop on which the connection is to run
    * @param receiver called once on the event loop with the connection, or with empty if none could
    *     be opened
    */
   public void acquire(
-      TargetId target, int limit, EventLoop loop, Consumer<Optional<TargetConnection>> receiver) {
+      TargetId target,
+      Optional<String> requestId,
+      int limit,
+      EventLoop loop,
+      Consumer<Optional<TargetConnection>> receiver) {
     pools
         .computeIfAbsent(target, key -> new TargetPool(key, this::open))
-        .acquire(limit, loop, receiver);
+        .acquire(requestId, limit, loop, receiver);
   }
 
   /** Returns an unused connection to its pool. Called on its event loop. */
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetPool.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetPool.java
@@ -41,19 +41,24 @@
   }
 
   /**
-   * Calls the receiver on the event loop with a connection, or with empty if none could be opened.
+   * Calls the receiver on the event loop with a connection that may carry the request, or with
+   * empty if none could be opened.
    */
-  void acquire(int limit, EventLoop loop, Consumer<Optional<TargetConnection>> receiver) {
+  void acquire(
+      Optional<String> requestId,
+      int limit,
+      EventLoop loop,
+      Consumer<Optional<TargetConnection>> receiver) {
     Optional<TargetConnection> found;
     Optional<TargetConnection> evicted = Optional.empty();
     boolean mayOpen;
     synchronized (lock) {
-      found = takeIdle(loop);
+      found = takeIdle(requestId, loop);
       mayOpen = found.isEmpty() && openCount < limit;
       if (mayOpen) {
         openCount++;
       } else if (found.isEmpty()) {
-        waiters.add(new Waiter(loop, receiver));
+        waiters.add(new Waiter(requestId, loop, receiver));
         evicted = takeAnyIdle();
       }
     }
@@ -72,7 +77,7 @@
     connection.markIdle();
     Optional<Waiter> waiter;
     synchronized (lock) {
-      waiter = takeWaiter(loop);
+      waiter = takeWaiter(connection, loop);
       if (waiter.isEmpty() && waiters.isEmpty()) {
         idle.computeIfAbsent(loop, key -> new ArrayDeque<>()).push(connection);
         return;
@@ -81,8 +86,7 @@
     if (waiter.isPresent()) {
       loop.execute(() -> waiter.get().receiver().accept(Optional.of(connection)));
     } else {
-      // All waiters are on other event loops: close the connection so that its permit goes to the
-      // first.
+      // No waiter can use the connection: close it so that its permit goes to the first.
       connection.channel().close();
     }
   }
@@ -117,14 +121,18 @@
     }
   }
 
-  private Optional<TargetConnection> takeIdle(EventLoop loop) {
-    Deque<TargetConnection> own = idle.get(loop);
-    while (own != null && !own.isEmpty()) {
-      TargetConnection connection = own.pop();
-      if (connection.mayBeReused()) {
+  private Optional<TargetConnection> takeIdle(Optional<String> requestId, EventLoop loop) {
+    Iterator<TargetConnection> own =
+        idle.computeIfAbsent(loop, key -> new ArrayDeque<>()).iterator();
+    while (own.hasNext()) {
+      TargetConnection connection = own.next();
+      if (!connection.mayBeReused()) {
+        own.remove();
+        connection.channel().close();
+      } else if (connection.mayCarry(requestId)) {
+        own.remove();
         return Optional.of(connection);
       }
-      connection.channel().close();
     }
     return Optional.empty();
   }
@@ -133,11 +141,11 @@
     return idle.values().stream().filter(own -> !own.isEmpty()).findFirst().map(Deque::removeLast);
   }
 
-  private Optional<Waiter> takeWaiter(EventLoop loop) {
+  private Optional<Waiter> takeWaiter(TargetConnection connection, EventLoop loop) {
     Iterator<Waiter> iterator = waiters.iterator();
     while (iterator.hasNext()) {
       Waiter waiter = iterator.next();
-      if (waiter.loop() == loop) {
+      if (waiter.loop() == loop && connection.mayCarry(waiter.requestId())) {
         iterator.remove();
         return Optional.of(waiter);
       }
@@ -145,5 +153,6 @@
     return Optional.empty();
   }
 
-  private record Waiter(EventLoop loop, Consumer<Optional<TargetConnection>> receiver) {}
+  private record Waiter(
+      Optional<String> requestId, EventLoop loop, Consumer<Optional<TargetConnection>> receiver) {}
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetProber.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetProber.java
@@ -58,7 +58,8 @@
   public void probe(ProbeRequest request, int connectionLimit, Consumer<ProbeResult> receiver) {
     StatusCheck check = new StatusCheck(request, receiver);
     loop.schedule(check::onTimeout, TIMEOUT_MS, TimeUnit.MILLISECONDS);
-    connections.acquire(request.target(), connectionLimit, loop, check::onConnection);
+    connections.acquire(
+        request.target(), Optional.empty(), connectionLimit, loop, check::onConnection);
   }
 
   private static HttpRequest head(ProbeRequest request) {
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/RepeatedRefusalTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/RepeatedRefusalTest.java
@@ -5,10 +5,17 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.waxwingbeam.model.Parameter;
 import org.waxwingbeam.model.Parameters;
 import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.model.VersionName;
+import org.waxwingbeam.target.Completion;
+import org.waxwingbeam.target.Decision;
+import org.waxwingbeam.target.DispatchRequest;
+import org.waxwingbeam.target.Dispatcher;
 import org.waxwingbeam.tools.testing.EntryFixture;
 import org.waxwingbeam.tools.testing.HostileTarget;
 import org.waxwingbeam.tools.testing.RawCaller;
@@ -97,6 +104,43 @@
     }
   }
 
+  @Test
+  void refusalIsNotBelievedForRetryOfItsRequestOnTheSameConnection() throws Exception {
+    assertRetriesRunOnOtherConnections(Parameters.NONE);
+  }
+
+  @Test
+  void refusalIsNotBelievedForRetryThatWaitedForItsConnection() throws Exception {
+    assertRetriesRunOnOtherConnections(Parameters.NONE.with(Parameter.CONNECTION_LIMIT, 1));
+  }
+
+  private static void assertRetriesRunOnOtherConnections(Parameters parameters) throws Exception {
+    AtomicInteger requests = new AtomicInteger();
+    HostileTarget.Script script =
+        connection -> {
+          boolean refused = false;
+          while (connection.awaitRequest()) {
+            if (refused) {
+              connection.write(refusal(id(connection.readAndCountRun())));
+            } else if (requests.incrementAndGet() <= 2) {
+              refused = true;
+              connection.write(refusal(id(connection.readWithoutRunning())));
+            } else {
+              connection.write(whole(id(connection.readAndCountRun())));
+            }
+          }
+        };
+    try (HostileTarget target = new HostileTarget(script);
+        EntryFixture entry = new EntryFixture(new SoleTargetDispatcher(target.id()), parameters);
+        RawCaller caller = new RawCaller(entry.endpoint())) {
+      String outcome = outcome(caller, "first");
+
+      assertNotRunIsTrue(target, "first", outcome);
+      assertThat(target.runCount("first")).isAtMost(1);
+      assertThat(outcome).isEqualTo("whole");
+    }
+  }
+
   @Test
   void refusalThatNamesTwoRequestsIsNotBelieved() throws Exception {
     for (String other : List.of("entry-1-0", "")) {
@@ -198,4 +242,25 @@
         .map(kind -> kind + " " + response.header("waxwingbeam-run").orElse("none"))
         .orElse(response.body());
   }
+
+  /** Assigns the only target of a service to every attempt. */
+  private record SoleTargetDispatcher(TargetId target) implements Dispatcher {
+    @Override
+    public Decision request(long nowNanos, DispatchRequest request) {
+      return new Decision.Assigned(request.attemptId(), target, new VersionName("v1"));
+    }
+
+    @Override
+    public List<Decision> complete(long nowNanos, Completion completion) {
+      return List.of();
+    }
+
+    @Override
+    public void cancel(long nowNanos, long attemptId) {}
+
+    @Override
+    public List<Decision> tick(long nowNanos) {
+      return List.of();
+    }
+  }
 }
