--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -156,7 +156,7 @@
     int limit = (int) policy.value(Parameter.CONNECTION_LIMIT);
     TargetAttempt attempt =
         new TargetAttempt(
-            context, this, request, context.connectionLimit().applyAsInt(limit), loop);
+            context, this, request, requestId, context.connectionLimit().applyAsInt(limit), loop);
     active.add(attempt);
     attempt.start();
   }
@@ -297,7 +297,7 @@
     }
     attempt.target().ifPresent(usedTargets::add);
     caller.continueIfExpected();
-    attempt.send(outgoingHead(attempt), requestId, body);
+    attempt.send(outgoingHead(attempt), body);
     discardSentBody();
     updateRequestReading();
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
@@ -15,7 +15,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.channels.ClosedChannelException;
+import java.util.LinkedHashSet;
 import java.util.Optional;
+import java.util.SequencedSet;
 import java.util.concurrent.TimeUnit;
 import org.waxwingbeam.model.TargetId;
 
@@ -43,10 +45,14 @@
   /** Maximum time in which such a body must have ended after the first read. */
   private static final long DISCARD_LIMIT_MS = 1_000;
 
+  /** Number of refused requests that a connection remembers; the oldest is forgotten first. */
+  private static final int REFUSED_ID_LIMIT = 64;
+
   private final TargetId target;
   private final TargetPool pool;
   private final ResponseDecoder decoder;
   private final TargetAdapter adapter;
+  private final SequencedSet<String> refusedIds = new LinkedHashSet<>();
   private Channel channel;
 
   private ResponseReceiver receiver;
@@ -59,7 +65,7 @@
   private boolean reusable;
   private boolean discarding;
   private boolean discardTimed;
-  private boolean echoesRequestId;
+  private boolean requiresEchoedId;
   private long idleLimitNanos = DEFAULT_IDLE_LIMIT_NANOS;
   private long idleSinceNanos;
   private long bodyBytesLeft;
@@ -96,6 +102,16 @@
     return channel.isActive() && System.nanoTime() - idleSinceNanos < idleLimitNanos;
   }
 
+  /**
+   * Returns whether the connection may carry a request. Where it has been refused before, that
+   * refusal, written again, would look like a refusal of its retry.
+   *
+   * @param id the request id, empty for a status check
+   */
+  boolean mayCarry(Optional<String> id) {
+    return id.isEmpty() || !refusedIds.contains(id.get());
+  }
+
   Channel channel() {
     return channel;
   }
@@ -118,6 +134,8 @@
    * @param responseReceiver receives the response
    */
   public void sendStatusCheck(HttpRequest head, ResponseReceiver responseReceiver) {
+    // Its response may be written again, and has no id that would distinguish it.
+    requiresEchoedId = true;
     initExchange(head, Optional.empty(), responseReceiver);
     bodyBytesLeft = DISCARD_LIMIT_BYTES;
     write(LastHttpContent.EMPTY_LAST_CONTENT);
@@ -291,13 +309,44 @@
     if (requestId.isEmpty()) {
       return echoed.isEmpty();
     }
-    if (echoed.isEmpty() ? echoesRequestId : !echoed.equals(requestId)) {
+    if (echoed.isEmpty()) {
+      return !requiresEchoedId && isExpectedWithoutId(head);
+    }
+    if (!echoed.equals(requestId)) {
       return false;
     }
-    echoesRequestId = echoed.isPresent();
+    requiresEchoedId = true;
+    if (isRefusal(head)) {
+      rememberRefusal(echoed.get());
+    }
     return true;
   }
 
+  /**
+   * Returns whether a response without a request id may be the expected one. A refusal may be an
+   * earlier one that the target has written again, unless it is the first response of the
+   * connection.
+   */
+  private boolean isExpectedWithoutId(HttpResponse head) {
+    if (!isRefusal(head)) {
+      return true;
+    }
+    // The next refusal without an id can be believed only on a new connection.
+    reusable = false;
+    return exchanges == 1;
+  }
+
+  private void rememberRefusal(String id) {
+    refusedIds.add(id);
+    if (refusedIds.size() > REFUSED_ID_LIMIT) {
+      refusedIds.removeFirst();
+    }
+  }
+
+  private boolean isRefusal(HttpResponse head) {
+    return adapter.classify(head) instanceof ResponseDisposition.Refused;
+  }
+
   private void onContent(HttpContent content) {
     if (content.decoderResult().isFailure()) {
       content.release();
