A request torn at targets that live on is no longer refused as poison

Callers saw 422 poison-request for ten minutes (502 at routed services), at every entry instance, for a proper request whose connection was lost at two targets (three at routed services), although the targets lived on: a torn response, an answer lost on its way or a kept connection that its target closed counted as a crash.

A loss is now recorded, and so shared with other entry instances, only if the target does not accept a connection 20 ms after it. A crashed process refuses it until it is back; one that lives on accepts it, and the connection replaces the lost one in the pool. Losses at one target in quick succession share one check, so that a network fault opens one connection and not one for each loss. Records are never withdrawn, so CrashRecord, drainChanges and merge stay as they are. An attempt that would reach the limit if its target had crashed is retried only after the check, and a failed exchange ends only after all its checks, so that a request sent again at once is refused as before. While it waits, no attempt is active; a caller that leaves then no longer gives its idempotency key free, since the request may have run.

PoisonRun modelled a crash as a reset connection at a target that went on serving, which is now what is not refused. Its targets now lose all connections and their port for 200 ms.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/PoisonRequestDetector.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/PoisonRequestDetector.java
@@ -11,14 +11,15 @@
 /**
  * Detects poison requests, which crash the targets that run them.
  *
- * <p>A request is poison once connections to two different targets have been lost while they ran
- * it, the second attempt being sent after the first connection was lost. It is then refused for the
- * retention time of its template. A complete response to the same request shows that the
- * connections were lost for another reason, and clears the suspicion. The fingerprint covers the
- * client account, so that one account's requests are never refused because of another's.
+ * <p>A request is poison once two different targets have gone down while they ran it, the second
+ * attempt being sent after the first target was lost. It is then refused for the retention time of
+ * its template. A lost connection alone is no evidence: a target that lives on may tear a response.
+ * A complete response to the same request shows that the targets went down for another reason, and
+ * clears the suspicion. The fingerprint covers the client account, so that one account's requests
+ * are never refused because of another's.
  *
  * <pre>{@code
- * poison.onConnectionLost(now, fingerprint, target, sentNanos, retentionMs);
+ * poison.onConnectionLost(lossNanos, fingerprint, target, sentNanos, retentionMs);
  * boolean refused = poison.isPoison(now, fingerprint.requestDigest());
  * }</pre>
  *
@@ -66,17 +67,32 @@
 
   /** Returns whether requests with this digest are currently refused. */
   public synchronized boolean isPoison(long nowNanos, String requestDigest) {
+    return isPoisonAfter(nowNanos, requestDigest, 0);
+  }
+
+  /**
+   * Returns whether requests with this digest are refused once further targets turn out to have
+   * crashed.
+   *
+   * @param nowNanos the current time of the entry instance's monotonic clock
+   * @param requestDigest identifies the request
+   * @param furtherCrashes the number of further targets
+   */
+  public synchronized boolean isPoisonAfter(
+      long nowNanos, String requestDigest, int furtherCrashes) {
     expire(nowNanos);
     Suspect suspect = suspects.get(requestDigest);
-    return suspect != null && suspect.targets.size() >= crashLimit;
+    int crashes = suspect == null ? 0 : suspect.targets.size();
+    return crashes + furtherCrashes >= crashLimit;
   }
 
   /**
-   * Records that a connection was lost while its target ran a request.
+   * Records that a connection was lost while its target ran a request, and that the target went
+   * down with it.
    *
-   * @param nowNanos the current time of the entry instance's monotonic clock
+   * @param nowNanos when the connection was lost, on the entry instance's monotonic clock
    * @param fingerprint identifies the request
-   * @param target the target whose connection was lost
+   * @param target the target that went down
    * @param sentNanos when the request was sent to that target
    * @param retentionMs how long the request is refused once it is poison
    */
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -83,7 +83,7 @@
             .key()
             .filter(key -> !policy.idempotent())
             .map(key -> new IdempotencyClaim(context, policy, key));
-    this.poison = new PoisonCheck(context, policy, head, body);
+    this.poison = new PoisonCheck(context, policy, head, body, loop);
     HopByHopHeaders.removeFromRequest(head.headers());
   }
 
@@ -227,7 +227,8 @@
       return;
     }
     context.metrics().onCallerGone();
-    boolean sent = active.stream().anyMatch(TargetAttempt::hasWrittenBytes);
+    boolean sent =
+        active.stream().anyMatch(TargetAttempt::hasWrittenBytes) || ambiguousFailure.isPresent();
     // A request with a claim that has been sent continues, so that its outcome can be recorded.
     if (claim.isEmpty() || !sent) {
       cancelAll(AttemptOutcome.CANCELLED);
@@ -284,7 +285,7 @@
     recordAttempt(attempt, refused.kind().code());
     active.remove(attempt);
     if (active.isEmpty()) {
-      sendError(refused.kind(), refused.retryAfterMs());
+      poison.whenChecked(() -> sendError(refused.kind(), refused.retryAfterMs()));
     }
   }
 
@@ -425,7 +426,7 @@
     recordAttempt(attempt, failure.reason().code());
     poison.onFailed(attempt, failure);
     if (attempt == respondingAttempt) {
-      abortResponse();
+      poison.whenChecked(this::abortResponseUnlessEnded);
       return;
     }
     if (failure.mayHaveRun()) {
@@ -437,13 +438,20 @@
   }
 
   private void retryOrFail(AttemptFailure failure) {
+    poison.whenDecided(() -> retryUnlessPoison(failure));
+  }
+
+  private void retryUnlessPoison(AttemptFailure failure) {
+    if (ended) {
+      return;
+    }
     if (poison.isPoison()) {
       sendError(ErrorKind.POISON_REQUEST, 0);
     } else if (mayRetry(failure)) {
       context.metrics().onRetry(failure.reason());
       startAttempt();
     } else {
-      sendError(failure.kind(), 0);
+      poison.whenChecked(() -> sendError(failure.kind(), 0));
     }
   }
 
@@ -507,6 +515,12 @@
     return Optional.of(Math.max(0, metadata.deadlineMs().getAsLong() - passedMs));
   }
 
+  private void abortResponseUnlessEnded() {
+    if (!ended) {
+      abortResponse();
+    }
+  }
+
   private void abortResponse() {
     context.metrics().onTruncatedResponse();
     reportOutcome(ClaimOutcome.Result.UNKNOWN);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/PoisonCheck.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/PoisonCheck.java
@@ -2,8 +2,11 @@
 
 import static java.nio.charset.StandardCharsets.US_ASCII;
 
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpRequest;
 import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import org.waxwingbeam.caller.AttemptFailure;
@@ -12,17 +15,31 @@
 import org.waxwingbeam.caller.RetryReason;
 import org.waxwingbeam.caller.RoutePolicy;
 import org.waxwingbeam.model.Parameter;
+import org.waxwingbeam.model.TargetId;
 
-/** Checks whether a request is known to crash targets, and records crashes during the request. */
+/**
+ * Checks whether a request is known to crash targets, and records crashes during the request. A
+ * lost connection counts only once its target has failed to accept another.
+ */
 final class PoisonCheck {
   private final ExchangeContext context;
   private final RoutePolicy policy;
   private final HttpRequest head;
   private final RequestBody body;
+  private final EventLoop loop;
+  // Losses are recorded in their order, so that a later one does not hide an earlier one.
+  private final Deque<Loss> unresolved = new ArrayDeque<>(2);
+  private Optional<Runnable> waiting = Optional.empty();
   private Optional<PoisonRequestDetector.Fingerprint> fingerprint = Optional.empty();
 
-  PoisonCheck(ExchangeContext context, RoutePolicy policy, HttpRequest head, RequestBody body) {
+  PoisonCheck(
+      ExchangeContext context,
+      RoutePolicy policy,
+      HttpRequest head,
+      RequestBody body,
+      EventLoop loop) {
     this.context = context;
+    this.loop = loop;
     this.policy = policy;
     this.head = head;
     this.body = body;
@@ -42,25 +59,91 @@
         && context.poison().isPoison(context.clock().getAsLong(), fingerprint().requestDigest());
   }
 
+  /**
+   * Calls a task as soon as {@link #isPoison} no longer depends on targets that are being checked.
+   */
+  void whenDecided(Runnable task) {
+    boolean depends =
+        !unresolved.isEmpty()
+            && context
+                .poison()
+                .isPoisonAfter(
+                    context.clock().getAsLong(), fingerprint().requestDigest(), unresolved.size());
+    if (depends) {
+      waiting = Optional.of(task);
+    } else {
+      task.run();
+    }
+  }
+
+  /**
+   * Calls a task as soon as every lost target has been checked. A failed exchange ends only then,
+   * since the caller may send the request again at once.
+   */
+  void whenChecked(Runnable task) {
+    if (unresolved.isEmpty()) {
+      task.run();
+    } else {
+      waiting = Optional.of(task);
+    }
+  }
+
   /** Records a failed attempt, if the request may have crashed the target. */
   void onFailed(TargetAttempt attempt, AttemptFailure failure) {
     boolean connectionLost =
         failure.reason() == RetryReason.CONNECTION_LOST
             || failure.reason() == RetryReason.STALE_CONNECTION;
     if (connectionLost && attempt.target().isPresent()) {
-      context
-          .poison()
-          .onConnectionLost(
-              context.clock().getAsLong(),
+      checkTarget(
+          new Loss(
               fingerprint(),
               attempt.target().get(),
               attempt.sentNanos(),
-              policy.value(Parameter.POISON_RETENTION));
+              context.clock().getAsLong()));
+    }
+  }
+
+  private void checkTarget(Loss loss) {
+    unresolved.add(loss);
+    int limit = (int) policy.value(Parameter.CONNECTION_LIMIT);
+    context
+        .connections()
+        .checkAlive(
+            loss.target,
+            context.connectionLimit().applyAsInt(limit),
+            loop,
+            alive -> onChecked(loss, alive));
+  }
+
+  private void onChecked(Loss loss, boolean alive) {
+    loss.alive = Optional.of(alive);
+    while (!unresolved.isEmpty() && unresolved.peekFirst().alive.isPresent()) {
+      Loss first = unresolved.removeFirst();
+      if (!first.alive.get()) {
+        recordCrash(first);
+      }
+    }
+    if (unresolved.isEmpty()) {
+      Optional<Runnable> task = waiting;
+      waiting = Optional.empty();
+      task.ifPresent(Runnable::run);
     }
   }
 
+  private void recordCrash(Loss loss) {
+    context
+        .poison()
+        .onConnectionLost(
+            loss.lossNanos,
+            loss.fingerprint,
+            loss.target,
+            loss.sentNanos,
+            policy.value(Parameter.POISON_RETENTION));
+  }
+
   /** Records that the request got a complete response. */
   void onResponse() {
+    unresolved.clear();
     if (needsBody()) {
       context.poison().onResponse(fingerprint().requestDigest());
     }
@@ -84,4 +167,25 @@
     }
     return fingerprint.get();
   }
+
+  /** A connection that was lost while its target ran the request. */
+  private static final class Loss {
+    private final PoisonRequestDetector.Fingerprint fingerprint;
+    private final TargetId target;
+    private final long sentNanos;
+    private final long lossNanos;
+    // Empty until the target has been checked.
+    private Optional<Boolean> alive = Optional.empty();
+
+    Loss(
+        PoisonRequestDetector.Fingerprint fingerprint,
+        TargetId target,
+        long sentNanos,
+        long lossNanos) {
+      this.fingerprint = fingerprint;
+      this.target = target;
+      this.sentNanos = sentNanos;
+      this.lossNanos = lossNanos;
+    }
+  }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnections.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnections.java
@@ -66,6 +66,22 @@
         .acquire(limit, loop, receiver);
   }
 
+  /**
+   * Checks whether a target that has lost a connection lives on: whether it accepts a new
+   * connection, or completes an exchange on an open one if no more may be opened. The new
+   * connection replaces the lost one in the pool.
+   *
+   * @param target the target
+   * @param limit maximum number of connections of this process to the target, at least 1
+   * @param loop the event loop of the lost connection
+   * @param receiver called once on the event loop with whether the target lives on
+   */
+  public void checkAlive(TargetId target, int limit, EventLoop loop, Consumer<Boolean> receiver) {
+    pools
+        .computeIfAbsent(target, key -> new TargetPool(key, this::open))
+        .checkAlive(limit, loop, receiver);
+  }
+
   /** Returns an unused connection to its pool. Called on its event loop. */
   public void release(TargetConnection connection) {
     pools.get(connection.target()).release(connection);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetPool.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetPool.java
@@ -2,11 +2,14 @@
 
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.waxwingbeam.model.TargetId;
 
@@ -22,6 +25,12 @@
     void open(TargetPool pool, EventLoop loop, Consumer<Optional<TargetConnection>> receiver);
   }
 
+  /**
+   * Time from the loss of a connection to the check, in which a crashing process closes its other
+   * sockets. A process that starts again within it passes for one that lived on.
+   */
+  private static final long CHECK_DELAY_MS = 20;
+
   private final TargetId target;
   private final Opener opener;
 
@@ -29,6 +38,7 @@
   private final Object lock = new Object();
   private final Map<EventLoop, Deque<TargetConnection>> idle = new HashMap<>();
   private final Deque<Waiter> waiters = new ArrayDeque<>();
+  private final List<Checker> checkers = new ArrayList<>();
   private int openCount;
 
   TargetPool(TargetId target, Opener opener) {
@@ -44,11 +54,19 @@
    * Calls the receiver on the event loop with a connection, or with empty if none could be opened.
    */
   void acquire(int limit, EventLoop loop, Consumer<Optional<TargetConnection>> receiver) {
+    acquire(limit, loop, receiver, true);
+  }
+
+  private void acquire(
+      int limit,
+      EventLoop loop,
+      Consumer<Optional<TargetConnection>> receiver,
+      boolean reusesIdle) {
     Optional<TargetConnection> found;
     Optional<TargetConnection> evicted = Optional.empty();
     boolean mayOpen;
     synchronized (lock) {
-      found = takeIdle(loop);
+      found = reusesIdle ? takeIdle(loop) : Optional.empty();
       mayOpen = found.isEmpty() && openCount < limit;
       if (mayOpen) {
         openCount++;
@@ -66,6 +84,36 @@
     evicted.ifPresent(connection -> connection.channel().close());
   }
 
+  /** Checks whether the target lives on; losses in quick succession share one check. */
+  void checkAlive(int limit, EventLoop loop, Consumer<Boolean> receiver) {
+    boolean first;
+    synchronized (lock) {
+      first = checkers.isEmpty();
+      checkers.add(new Checker(loop, receiver));
+    }
+    if (first) {
+      loop.schedule(
+          () -> acquire(limit, loop, onChecked(takeCheckers()), false),
+          CHECK_DELAY_MS,
+          TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private List<Checker> takeCheckers() {
+    synchronized (lock) {
+      List<Checker> taken = List.copyOf(checkers);
+      checkers.clear();
+      return taken;
+    }
+  }
+
+  private Consumer<Optional<TargetConnection>> onChecked(List<Checker> asking) {
+    return found -> {
+      found.ifPresent(this::release);
+      asking.forEach(each -> each.loop().execute(() -> each.receiver().accept(found.isPresent())));
+    };
+  }
+
   /** Returns a connection to the pool after a complete exchange. Called on its event loop. */
   void release(TargetConnection connection) {
     EventLoop loop = connection.channel().eventLoop();
@@ -146,4 +194,6 @@
   }
 
   private record Waiter(EventLoop loop, Consumer<Optional<TargetConnection>> receiver) {}
+
+  private record Checker(EventLoop loop, Consumer<Boolean> receiver) {}
 }
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/requests/PoisonRun.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/requests/PoisonRun.java
@@ -26,6 +26,7 @@
 final class PoisonRun implements AutoCloseable {
   private static final int ENTRIES = 4;
   private static final int TARGETS = 8;
+  private static final long DOWNTIME_MS = 200;
   private static final String CRASHING_PATH = "/listings/crash";
 
   private final SplittableRandom random;
@@ -54,13 +55,15 @@
     }
   }
 
-  private void serve(HostileTarget.Connection connection) throws IOException {
+  private void serve(HostileTarget.Connection connection) throws IOException, InterruptedException {
     Optional<RawRequest> request = connection.readAndCountRun();
     while (request.isPresent()) {
       if (request.get().requestLine().contains(CRASHING_PATH)
           && request.get().header("host").equals(Optional.of(EntryFixture.HOST))) {
         crashes.incrementAndGet();
-        connection.reset();
+        connection.crashTarget();
+        Thread.sleep(DOWNTIME_MS);
+        connection.restartTarget();
         return;
       }
       connection.write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/testing/HostileTarget.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/testing/HostileTarget.java
@@ -36,22 +36,27 @@
   /** Request header with the id under which runs of the request are counted. */
   public static final String CASE_HEADER = "x-case";
 
-  private final ServerSocket listener;
+  private static final int BACKLOG = 64;
+
+  private final TargetId id;
   private final Script script;
   private final Map<String, AtomicInteger> runCount = new ConcurrentHashMap<>();
   private final Map<Connection, Boolean> openConnections = new ConcurrentHashMap<>();
   private final AtomicInteger connections = new AtomicInteger();
+  private volatile ServerSocket listener;
+  private volatile boolean ended;
 
   /** Listens on a free port of the loopback address. */
   public HostileTarget(Script script) throws IOException {
     this.script = script;
-    this.listener = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+    listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+    id = new TargetId(listener.getInetAddress().getHostAddress(), listener.getLocalPort());
     Thread.ofVirtual().start(this::accept);
   }
 
   /** Returns the address on which the target listens. */
   public TargetId id() {
-    return new TargetId(listener.getInetAddress().getHostAddress(), listener.getLocalPort());
+    return id;
   }
 
   /** Returns how often the request with an id has run. */
@@ -64,10 +69,27 @@
     return connections.get();
   }
 
+  /** Crashes: loses all connections and refuses new ones until {@link #restart}. */
+  public void crash() throws IOException {
+    listener.close();
+    for (Connection connection : openConnections.keySet()) {
+      connection.reset();
+    }
+  }
+
+  /** Listens again on the same address after a crash. */
+  public synchronized void restart() throws IOException {
+    if (!ended) {
+      listener = new ServerSocket(id.port(), BACKLOG, InetAddress.getLoopbackAddress());
+      Thread.ofVirtual().start(this::accept);
+    }
+  }
+
   private void accept() {
-    while (!listener.isClosed()) {
+    ServerSocket accepting = listener;
+    while (!accepting.isClosed()) {
       try {
-        Connection connection = new Connection(listener.accept(), connections.incrementAndGet());
+        Connection connection = new Connection(accepting.accept(), connections.incrementAndGet());
         Thread.ofVirtual().start(() -> serve(connection));
       } catch (IOException closed) {
         return;
@@ -87,7 +109,8 @@
   }
 
   @Override
-  public void close() throws IOException {
+  public synchronized void close() throws IOException {
+    ended = true;
     listener.close();
     for (Connection connection : openConnections.keySet()) {
       connection.close();
@@ -159,6 +182,16 @@
       out.flush();
     }
 
+    /** Crashes the target, see {@link HostileTarget#crash}. */
+    public void crashTarget() throws IOException {
+      crash();
+    }
+
+    /** Restarts the target after a crash. */
+    public void restartTarget() throws IOException {
+      restart();
+    }
+
     /** Closes the connection with a TCP reset. */
     public void reset() throws IOException {
       socket.setSoLinger(true, 0);
