An upload is no longer refused because another of its length crashed targets

Callers saw 422 poison-request for every request of the same client account to the same path with a body longer than 64 KiB and the same content-length, and for every such body sent in chunks, once one of them had crashed two targets: such a body was identified by its stated length alone, which is the same for all chunked bodies.

The fingerprint of such a body now covers its first 64 KiB as well. Their digest is computed when the body exceeds the buffer, while all of it is still held, so that it does not depend on how the body is divided into parts. While two versions of entry instances run side by side, they do not share crash records of such bodies.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/RequestDigest.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/RequestDigest.java
@@ -42,6 +42,23 @@
         HexFormat.of().formatHex(digest.digest()), pathDigest);
   }
 
+  /**
+   * Returns the digest of the first bytes of a body, as hexadecimal text.
+   *
+   * @param body the body or its beginning
+   * @param byteCount the number of bytes that count
+   */
+  public static String ofPrefix(List<ByteBuffer> body, int byteCount) {
+    MessageDigest digest = begin("");
+    int left = byteCount;
+    for (ByteBuffer each : body) {
+      int used = Math.min(left, each.remaining());
+      digest.update(each.slice(each.position(), used));
+      left -= used;
+    }
+    return HexFormat.of().formatHex(digest.digest());
+  }
+
   private static MessageDigest begin(String text) {
     try {
       MessageDigest digest = MessageDigest.getInstance(ALGORITHM);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/PoisonCheck.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/PoisonCheck.java
@@ -149,13 +149,14 @@
     }
   }
 
-  /** Returns the body, or only its stated length if the body is too long to be buffered. */
+  /** Returns the body, or its beginning and stated length if it is too long to be buffered. */
   private List<ByteBuffer> identifyingBody() {
-    if (!body.exceedsBufferLimit()) {
+    if (body.prefixDigest().isEmpty()) {
       return body.buffers();
     }
-    String length = "length " + RequestFraming.bodyLength(head);
-    return List.of(ByteBuffer.wrap(length.getBytes(US_ASCII)));
+    String text =
+        "length %d %s".formatted(RequestFraming.bodyLength(head), body.prefixDigest().get());
+    return List.of(ByteBuffer.wrap(text.getBytes(US_ASCII)));
   }
 
   private PoisonRequestDetector.Fingerprint fingerprint() {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/RequestBody.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/RequestBody.java
@@ -5,6 +5,8 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import org.waxwingbeam.caller.RequestDigest;
 
 /** Buffers a request body while it is short enough to be sent again. */
 final class RequestBody implements AutoCloseable {
@@ -16,12 +18,16 @@
   private int firstBufferedPart;
   private boolean complete;
   private boolean replayable = true;
+  private Optional<String> prefixDigest = Optional.empty();
 
   /** Adds a part and takes ownership of it. */
   void add(HttpContent part) {
     byteCount += part.content().readableBytes();
     complete = part instanceof LastHttpContent;
     parts.add(part);
+    if (exceedsBufferLimit() && prefixDigest.isEmpty()) {
+      prefixDigest = Optional.of(RequestDigest.ofPrefix(buffers(), BUFFER_LIMIT_BYTES));
+    }
   }
 
   /** Returns the number of bytes that have arrived. */
@@ -44,6 +50,11 @@
     return byteCount > BUFFER_LIMIT_BYTES;
   }
 
+  /** Returns the digest of the bytes up to the buffer limit, if the body exceeds it. */
+  Optional<String> prefixDigest() {
+    return prefixDigest;
+  }
+
   /** Returns the number of parts that have arrived. */
   int partCount() {
     return firstBufferedPart + parts.size();
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/PoisonRequestTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/PoisonRequestTest.java
@@ -134,6 +134,55 @@
     }
   }
 
+  @Test
+  void uploadIsNotRefusedBecauseAnotherOfTheSameLengthCrashedTargets() throws Exception {
+    try (HostileTarget first = crashingOn("bad");
+        HostileTarget second = crashingOn("bad");
+        HostileTarget third = crashingOn("bad");
+        EntryFixture entry = entry(2, first, second, third)) {
+      assertThat(send(entry, upload("bad"))).isEqualTo("502 target-lost unknown");
+      assertThat(send(entry, upload("bad"))).isEqualTo("502 target-lost unknown");
+      assertThat(send(entry, upload("bad"))).isEqualTo(REFUSED);
+      assertThat(send(entry, upload("good"))).isEqualTo("ok");
+      assertThat(send(entry, chunkedUpload("good"))).isEqualTo("ok");
+      assertThat(send(entry, upload("bad"))).isEqualTo(REFUSED);
+      assertThat(third.runCount("bad")).isEqualTo(0);
+    }
+  }
+
+  @Test
+  void chunkedUploadIsNotRefusedBecauseAnotherCrashedTargets() throws Exception {
+    try (HostileTarget first = crashingOn("bad");
+        HostileTarget second = crashingOn("bad");
+        HostileTarget third = crashingOn("bad");
+        EntryFixture entry = entry(2, first, second, third)) {
+      assertThat(send(entry, chunkedUpload("bad"))).isEqualTo("502 target-lost unknown");
+      assertThat(send(entry, chunkedUpload("bad"))).isEqualTo("502 target-lost unknown");
+      assertThat(send(entry, chunkedUpload("bad"))).isEqualTo(REFUSED);
+      assertThat(send(entry, chunkedUpload("good"))).isEqualTo("ok");
+    }
+  }
+
+  /** Returns an upload of 100,000 bytes, which are longer than the buffer of an entry instance. */
+  private static String upload(String kind) {
+    return "POST /uploads/one HTTP/1.1\r\nhost: alpha.orders.example\r\nx-case: "
+        + kind
+        + "\r\ncontent-length: 100000\r\n\r\n"
+        + uploadBody(kind);
+  }
+
+  private static String chunkedUpload(String kind) {
+    return "POST /uploads/one HTTP/1.1\r\nhost: alpha.orders.example\r\nx-case: "
+        + kind
+        + "\r\ntransfer-encoding: chunked\r\n\r\n186a0\r\n"
+        + uploadBody(kind)
+        + "\r\n0\r\n\r\n";
+  }
+
+  private static String uploadBody(String kind) {
+    return kind + ".".repeat(100_000 - kind.length());
+  }
+
   /** Returns a target that one kind of request crashes, and that stays down. */
   private static HostileTarget crashingOn(String kind) throws IOException {
     return new HostileTarget(
