--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/TruncatedMessageTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/TruncatedMessageTest.java
@@ -224,6 +224,7 @@
           () ->
               connections.acquire(
                   target.id(),
+                  Optional.empty(),
                   1,
                   loop,
                   found -> {
