An HTTP/1.0 response with two lengths is not passed on with the first

Callers could get a 200 with a short body, framed as whole, if a target stated two differing lengths in an HTTP/1.0 response. Cause: the decoder of the HTTP library takes the first length there, and has reduced the headers to it before this code sees them; in HTTP/1.1 it rejects the response. Evidence: olderResponseWithTwoLengthsIsNotPassedOnWithTheFirst failed with 'expected: 502 malformed-answer, but was: 200 whole'. Change: the headers of a response reject a second length while they are read, in every version.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/ResponseDecoder.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/ResponseDecoder.java
@@ -4,8 +4,12 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.ReferenceCountUtil;
@@ -42,6 +46,7 @@
         new HttpDecoderConfig()
             .setMaxInitialLineLength(HEAD_LIMIT_BYTES)
             .setMaxHeaderSize(HEAD_LIMIT_BYTES)
+            .setHeadersFactory(new SingleLengthHeadersFactory())
             .setMaxChunkSize(PART_LIMIT_BYTES));
   }
 
@@ -109,4 +114,27 @@
     throw new IllegalArgumentException(
         "response has both Content-Length and Transfer-Encoding; expected at most one");
   }
+
+  private static final class SingleLengthHeadersFactory implements HttpHeadersFactory {
+    @Override
+    public HttpHeaders newHeaders() {
+      return new SingleLengthHeaders();
+    }
+
+    @Override
+    public HttpHeaders newEmptyHeaders() {
+      return new SingleLengthHeaders();
+    }
+  }
+
+  /** Headers that reject a second length, which the base decoder ignores in HTTP/1.0 responses. */
+  private static final class SingleLengthHeaders extends DefaultHttpHeaders {
+    @Override
+    public HttpHeaders add(CharSequence name, Object value) {
+      if (HttpHeaderNames.CONTENT_LENGTH.contentEqualsIgnoreCase(name) && contains(name)) {
+        throw new IllegalArgumentException("response has a second Content-Length: " + value);
+      }
+      return super.add(name, value);
+    }
+  }
 }
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/ResponseFramingTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/ResponseFramingTest.java
@@ -62,6 +62,12 @@
     }
   }
 
+  @Test
+  void olderResponseWithTwoLengthsIsNotPassedOnWithTheFirst() throws Exception {
+    assertNotPassedOn(
+        List.of("HTTP/1.0 200 OK\r\ncontent-length: 5\r\ncontent-length: 12\r\n\r\nwhole answer"));
+  }
+
   @Test
   void malformedHeadsAndChunksAreNotPassedOn() throws Exception {
     String head = "HTTP/1.1 200 OK\r\n";
