The size of a response body that is passed on is bounded

A target could send a body without end to a caller that keeps reading: only time bounded it, for a transfer two hours. The parameter response-body-limit (16 GiB unless a template states another) bounds it in bytes; a response beyond it is cut off visibly, as one that takes too long is. Evidence: transferBeyondItsSizeLimitIsTruncatedVisibly got the whole 200 kB body with the limit not applied.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -59,6 +59,7 @@
   private Optional<AttemptFailure> ambiguousFailure = Optional.empty();
   private Optional<BufferedResponse> failedResponse = Optional.empty();
   private TargetAttempt respondingAttempt;
+  private long forwardedBytes;
   private OptionalInt targetStatus = OptionalInt.empty();
   private int attempts;
   // Whether the first attempt no longer waits for the body.
@@ -344,7 +345,7 @@
     Optional<BufferedResponse> buffered = attempt.bufferedResponse();
     if (buffered.isEmpty()) {
       timeouts.onProgress(context.clock().getAsLong());
-      forward(content);
+      forwardWithinLimit(content);
       return;
     }
     buffered.get().add(content);
@@ -353,7 +354,19 @@
     }
   }
 
+  private void forwardWithinLimit(HttpContent content) {
+    long limit = policy.value(Parameter.RESPONSE_BODY_LIMIT);
+    if (forwardedBytes + content.content().readableBytes() > limit) {
+      content.release();
+      cancelAll(AttemptOutcome.FAILURE);
+      abortResponse();
+    } else {
+      forward(content);
+    }
+  }
+
   private void forward(HttpContent content) {
+    forwardedBytes += content.content().readableBytes();
     claim.ifPresent(each -> each.onContent(content.content()));
     caller.write(content);
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/model/Parameter.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/model/Parameter.java
@@ -23,6 +23,8 @@
   TRANSFER_TOTAL(Unit.MILLISECONDS, 7_200_000, 10, 86_400_000),
   /** Maximum size of a request body. */
   REQUEST_BODY_LIMIT(Unit.BYTES, 16L << 20, 0, 1L << 40),
+  /** Maximum size of a response body that is passed on. */
+  RESPONSE_BODY_LIMIT(Unit.BYTES, 16L << 30, 64L << 10, 1L << 40),
   /** Time for which the outcome of a non-idempotent request with an idempotency key is stored. */
   CLAIM_RETENTION(Unit.MILLISECONDS, 86_400_000, 1_000, 2_592_000_000L),
   /** Maximum size of a response that is recorded for replay with its idempotency key. */
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/TransferTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/TransferTest.java
@@ -70,6 +70,21 @@
         .isEmpty();
   }
 
+  @Test
+  void transferBeyondItsSizeLimitIsTruncatedVisibly() throws Exception {
+    Parameters parameters = Parameters.NONE.with(Parameter.RESPONSE_BODY_LIMIT, 64 << 10);
+    HostileTarget.Script endless =
+        connection -> {
+          connection.readAndCountRun();
+          connection.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+          for (int i = 0; i < 200; i++) {
+            connection.write("3e8\r\n%s\r\n".formatted(PART.substring(0, 1_000)));
+          }
+          connection.write("0\r\n\r\n");
+        };
+    assertThat(download(endless, parameters)).isEmpty();
+  }
+
   @Test
   void uploadMayTakeLongerThanItsDeadline() throws Exception {
     Parameters parameters = Parameters.NONE.with(Parameter.DEADLINE, 100);
