Every document that is acknowledged can be put in force by entry instances

Cause: an entry instance could not compile some documents that the control replicas accepted: values beyond the range of a parameter (a response-time goal above 120 s, a timeout above an hour, more than 100,000 connections, bodies above 1 TiB) and names outside the format of names. The error left the older routes in force, and the revision was recorded as applied, so it was not tried again. Change: values are limited to the range of their parameter; a document with such a name is refused with a clear error; a revision counts as applied only once its routes are compiled.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -340,12 +340,11 @@
     if (received.getRevision() <= routingState.getRevision()) {
       return;
     }
-    boolean documentChanged = received.getDocument().getVersion() != routeTable.version();
-    routingState = received;
-    if (documentChanged) {
+    if (received.getDocument().getVersion() != routeTable.version()) {
       routeTable = new RouteTable(received.getDocument(), random.nextDouble());
       callerLimits = toCallerLimits(received.getDocument().getLimits());
     }
+    routingState = received;
     dispatcher.configure(received);
     LOG.info(
         "routing-applied",
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/RouteTable.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/RouteTable.java
@@ -1,6 +1,7 @@
 package org.waxwingbeam.caller;
 
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -152,18 +153,30 @@
 
     private static Parameters parameters(
         HostRoute route, RoutingDocument document, ServiceTerms service) {
-      int hedgeMs = (int) (route.getGoalMs() * HEDGE_SHARE_OF_GOAL);
-      Parameters parameters =
-          Parameters.NONE
-              .with(Parameter.DEADLINE, Math.max(1, route.getTimeoutMs()))
-              .with(Parameter.TRANSFER_TOTAL, Math.max(10, route.getTimeoutMs()))
-              .with(Parameter.SHED_RANK, Math.min(9, route.getRank()))
-              .with(Parameter.MAX_ATTEMPTS, Math.clamp(route.getMaxAttempts(), 1, 10))
-              .with(Parameter.RESPONSE_GOAL, Math.max(1, route.getGoalMs()))
-              .with(Parameter.HEDGE_AFTER, route.getIdempotent() ? hedgeMs : 0)
-              .with(Parameter.CONNECTION_LIMIT, Math.max(1, service.getConnectionLimit()));
-      long bodyBytes = document.getLimits().getBodyBytes();
-      return bodyBytes > 0 ? parameters.with(Parameter.REQUEST_BODY_LIMIT, bodyBytes) : parameters;
+      long hedgeMs = (long) (route.getGoalMs() * HEDGE_SHARE_OF_GOAL);
+      Map<Parameter, Long> values = new EnumMap<>(Parameter.class);
+      values.put(Parameter.DEADLINE, (long) route.getTimeoutMs());
+      values.put(Parameter.TRANSFER_TOTAL, (long) route.getTimeoutMs());
+      values.put(Parameter.SHED_RANK, (long) route.getRank());
+      values.put(Parameter.MAX_ATTEMPTS, (long) route.getMaxAttempts());
+      values.put(Parameter.RESPONSE_GOAL, (long) route.getGoalMs());
+      values.put(Parameter.HEDGE_AFTER, route.getIdempotent() ? hedgeMs : 0L);
+      values.put(Parameter.CONNECTION_LIMIT, (long) service.getConnectionLimit());
+      if (document.getLimits().getBodyBytes() > 0) {
+        values.put(Parameter.REQUEST_BODY_LIMIT, document.getLimits().getBodyBytes());
+      }
+      return withinRanges(values);
+    }
+
+    /** Returns parameters with the nearest value in range for each value. */
+    private static Parameters withinRanges(Map<Parameter, Long> values) {
+      Parameters parameters = Parameters.NONE;
+      for (Map.Entry<Parameter, Long> each : values.entrySet()) {
+        Parameter parameter = each.getKey();
+        long value = Math.clamp(each.getValue(), parameter.min(), parameter.max());
+        parameters = parameters.with(parameter, value);
+      }
+      return parameters;
     }
 
     RoutePolicy nextPolicy() {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/operator/RoutingDocumentValidator.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/operator/RoutingDocumentValidator.java
@@ -4,6 +4,9 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.waxwingbeam.model.InvalidNameException;
+import org.waxwingbeam.model.RouteName;
+import org.waxwingbeam.model.ServiceName;
 import org.waxwingbeam.wire.routing.HostRoute;
 import org.waxwingbeam.wire.routing.RoutingDocument;
 import org.waxwingbeam.wire.routing.ServiceTerms;
@@ -29,14 +32,14 @@
             .collect(Collectors.toUnmodifiableSet());
     return Stream.concat(
             document.getServicesList().stream()
-                .filter(each -> each.getName().isEmpty())
-                .map(each -> "a service has no name: expected one"),
+                .flatMap(each -> nameFault(() -> new ServiceName(each.getName()))),
             document.getRoutesList().stream().flatMap(each -> faults(each, services)))
         .toList();
   }
 
   private static Stream<String> faults(HostRoute route, Set<String> services) {
     Stream.Builder<String> faults = Stream.builder();
+    nameFault(() -> new RouteName(route.getName())).forEach(faults);
     if (route.getHost().isBlank()) {
       faults.add("route '%s': expected a host, found none".formatted(route.getName()));
     }
@@ -69,4 +72,13 @@
                         .formatted(route.getName(), each)));
     return faults.build();
   }
+
+  private static Stream<String> nameFault(Runnable creation) {
+    try {
+      creation.run();
+      return Stream.empty();
+    } catch (InvalidNameException invalid) {
+      return Stream.of(invalid.getMessage());
+    }
+  }
 }
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/caller/RouteTableTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/caller/RouteTableTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.waxwingbeam.model.ErrorKind;
 import org.waxwingbeam.model.Parameter;
+import org.waxwingbeam.wire.routing.CallerLimits;
 import org.waxwingbeam.wire.routing.HostRoute;
 import org.waxwingbeam.wire.routing.RoutingDocument;
 import org.waxwingbeam.wire.routing.ServiceTerms;
@@ -75,4 +76,29 @@
       assertThat(beta).isIn(com.google.common.collect.Range.closed(18L, 22L));
     }
   }
+
+  @Test
+  void documentWithValuesBeyondTheRangesOfParametersCanBeCompiled() {
+    HostRoute slow =
+        route("slow", "slow.example", "/", "alpha", 1).toBuilder()
+            .setTimeoutMs(7_200_000)
+            .setGoalMs(130_000)
+            .setIdempotent(true)
+            .build();
+    RoutingDocument document =
+        DOCUMENT.toBuilder()
+            .addRoutes(slow)
+            .addServices(
+                ServiceTerms.newBuilder().setName("gamma").setConnectionLimit(200_000).build())
+            .addRoutes(route("many", "many.example", "/", "gamma", 1))
+            .setLimits(CallerLimits.newBuilder().setBodyBytes(1L << 41))
+            .build();
+
+    RouteTable table = new RouteTable(document, 0);
+
+    assertThat(policy(table, "slow.example", "/").value(Parameter.DEADLINE))
+        .isEqualTo(Parameter.DEADLINE.max());
+    assertThat(policy(table, "many.example", "/").value(Parameter.CONNECTION_LIMIT))
+        .isEqualTo(Parameter.CONNECTION_LIMIT.max());
+  }
 }
