An idle connection to a target is read

Callers got bytes that a target had written between two requests as the response to the next one, or a 502 where request ids are repeated; a connection that its target had closed was used again. Cause: a response that filled the caller's buffer with its last read paused reading, and the connection went back to the pool like that: nothing resumed it before the next request. Change: reading is resumed when a connection goes back to the pool.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
@@ -374,6 +374,7 @@
     ResponseReceiver finished = receiver;
     receiver = null;
     if (reusable && requestComplete && channel.isActive() && !decoder.hasUndecodedBytes()) {
+      channel.config().setAutoRead(true);
       pool.release(this);
     } else {
       channel.close();
