A torn response ends at once unless its request may be poison

A keyed request that had run could run again: between the loss of its connection and the end of the check of its target no attempt was active, and a caller that left then freed the key. Besides, every request that failed with a lost connection got its final answer only after that check. Cause: let each failed exchange wait for the check, and did not record a torn response as one that may have run. Evidence: found by the review. keyedRequestWhoseTornResponseIsBeingCheckedIsNotFreedWhenItsCallerLeaves counted 2 runs (expected 1). Change: a torn response is recorded as possibly run first, and an exchange waits only if the request would reach the limit of crashes with the targets that are being checked, also for other requests with the same fingerprint.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/PoisonRequestDetector.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/PoisonRequestDetector.java
@@ -1,6 +1,7 @@
 package org.waxwingbeam.caller;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -36,6 +37,7 @@
   private final Map<String, Suspect> suspects = new LinkedHashMap<>();
   private final Map<String, Integer> suspectCountsByPath = new LinkedHashMap<>();
   private final Set<String> changedFingerprints = new HashSet<>();
+  private final Map<String, Integer> checksByRequest = new HashMap<>();
   private final int crashLimit;
   private volatile boolean empty = true;
 
@@ -67,23 +69,32 @@
 
   /** Returns whether requests with this digest are currently refused. */
   public synchronized boolean isPoison(long nowNanos, String requestDigest) {
-    return isPoisonAfter(nowNanos, requestDigest, 0);
+    return crashCount(nowNanos, requestDigest) >= crashLimit;
   }
 
   /**
-   * Returns whether requests with this digest are refused once further targets turn out to have
-   * crashed.
-   *
-   * @param nowNanos the current time of the entry instance's monotonic clock
-   * @param requestDigest identifies the request
-   * @param furtherCrashes the number of further targets
+   * Returns whether requests with this digest are refused if all targets that are being checked
+   * turn out to have crashed.
    */
-  public synchronized boolean isPoisonAfter(
-      long nowNanos, String requestDigest, int furtherCrashes) {
+  public synchronized boolean mayBecomePoison(long nowNanos, String requestDigest) {
+    int checks = checksByRequest.getOrDefault(requestDigest, 0);
+    return crashCount(nowNanos, requestDigest) + checks >= crashLimit;
+  }
+
+  private int crashCount(long nowNanos, String requestDigest) {
     expire(nowNanos);
     Suspect suspect = suspects.get(requestDigest);
-    int crashes = suspect == null ? 0 : suspect.targets.size();
-    return crashes + furtherCrashes >= crashLimit;
+    return suspect == null ? 0 : suspect.targets.size();
+  }
+
+  /** Records that a target is being checked after it lost a connection under a request. */
+  public synchronized void onCheckStarted(String requestDigest) {
+    checksByRequest.merge(requestDigest, 1, Integer::sum);
+  }
+
+  /** Records that the check of a target has ended. */
+  public synchronized void onCheckEnded(String requestDigest) {
+    checksByRequest.computeIfPresent(requestDigest, (key, count) -> count == 1 ? null : count - 1);
   }
 
   /**
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -287,7 +287,7 @@
     recordAttempt(attempt, refused.kind().code());
     active.remove(attempt);
     if (active.isEmpty()) {
-      poison.whenChecked(() -> sendError(refused.kind(), refused.retryAfterMs()));
+      poison.whenDecided(() -> sendError(refused.kind(), refused.retryAfterMs()));
     }
   }
 
@@ -443,13 +443,13 @@
     attempt.target().ifPresent(usedTargets::add);
     recordAttempt(attempt, failure.reason().code());
     poison.onFailed(attempt, failure);
-    if (attempt == respondingAttempt) {
-      poison.whenChecked(this::abortResponseUnlessEnded);
-      return;
-    }
     if (failure.mayHaveRun()) {
       ambiguousFailure = Optional.of(ambiguousFailure.orElse(failure));
     }
+    if (attempt == respondingAttempt) {
+      poison.whenDecided(this::abortResponseUnlessEnded);
+      return;
+    }
     if (active.isEmpty()) {
       retryOrFail(failure);
     }
@@ -469,7 +469,7 @@
       context.metrics().onRetry(failure.reason());
       startAttempt();
     } else {
-      poison.whenChecked(() -> sendError(failure.kind(), 0));
+      poison.whenDecided(() -> sendError(failure.kind(), 0));
     }
   }
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/PoisonCheck.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/PoisonCheck.java
@@ -61,14 +61,14 @@
 
   /**
    * Calls a task as soon as {@link #isPoison} no longer depends on targets that are being checked.
+   * At most one task waits.
    */
   void whenDecided(Runnable task) {
     boolean depends =
         !unresolved.isEmpty()
             && context
                 .poison()
-                .isPoisonAfter(
-                    context.clock().getAsLong(), fingerprint().requestDigest(), unresolved.size());
+                .mayBecomePoison(context.clock().getAsLong(), fingerprint().requestDigest());
     if (depends) {
       waiting = Optional.of(task);
     } else {
@@ -76,18 +76,6 @@
     }
   }
 
-  /**
-   * Calls a task as soon as every lost target has been checked. A failed exchange ends only then,
-   * since the caller may send the request again at once.
-   */
-  void whenChecked(Runnable task) {
-    if (unresolved.isEmpty()) {
-      task.run();
-    } else {
-      waiting = Optional.of(task);
-    }
-  }
-
   /** Records a failed attempt, if the request may have crashed the target. */
   void onFailed(TargetAttempt attempt, AttemptFailure failure) {
     boolean connectionLost =
@@ -105,6 +93,7 @@
 
   private void checkTarget(Loss loss) {
     unresolved.add(loss);
+    context.poison().onCheckStarted(loss.fingerprint.requestDigest());
     int limit = (int) policy.value(Parameter.CONNECTION_LIMIT);
     context
         .connections()
@@ -117,6 +106,7 @@
 
   private void onChecked(Loss loss, boolean alive) {
     loss.alive = Optional.of(alive);
+    context.poison().onCheckEnded(loss.fingerprint.requestDigest());
     while (!unresolved.isEmpty() && unresolved.peekFirst().alive.isPresent()) {
       Loss first = unresolved.removeFirst();
       if (!first.alive.get()) {
