The head of a pipelined request is not late because of the request before it

Cause: since the time limit counts from the head's first byte, which for a pipelined request may arrive while the previous one is served and reading is paused. It counts from the later of the two now. Found by the review; no test shows it.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerConnection.java
@@ -132,7 +132,8 @@
   }
 
   private void refuseSlowHead() {
-    long headMs = millisSince(decoder.headBegunNanos());
+    // The head of a pipelined request may have begun while the previous one was being served.
+    long headMs = Math.min(millisSince(decoder.headBegunNanos()), millisSince(idleSinceNanos));
     if (headMs > limits.get().headerTimeoutMs()) {
       logRefusal(
           ErrorKind.REQUEST_TIMEOUT,
