An open idle connection shows that a target lives on

The check after a lost connection opened a new one each time, also at a target that resets what exceeds its limit, where each of them could be lost and checked again. A crash ends all connections of a target, so one that is still open after the 20 ms is evidence enough. Found by the review; the load is not measured.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetPool.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetPool.java
@@ -106,10 +106,25 @@
       checkers.add(new Checker(loop, receiver));
     }
     if (first) {
-      loop.schedule(
-          () -> acquire(Optional.empty(), limit, loop, onChecked(takeCheckers()), false),
-          CHECK_DELAY_MS,
-          TimeUnit.MILLISECONDS);
+      loop.schedule(() -> checkNow(limit, loop), CHECK_DELAY_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void checkNow(int limit, EventLoop loop) {
+    List<Checker> asking = takeCheckers();
+    if (hasOpenIdleConnection()) {
+      notifyCheckers(asking, true);
+    } else {
+      acquire(Optional.empty(), limit, loop, onChecked(asking), false);
+    }
+  }
+
+  /** Returns whether a connection is still open, which a crash would have ended. */
+  private boolean hasOpenIdleConnection() {
+    synchronized (lock) {
+      return idle.values().stream()
+          .flatMap(Deque::stream)
+          .anyMatch(each -> each.channel().isActive());
     }
   }
 
@@ -124,10 +139,14 @@
   private Consumer<Optional<TargetConnection>> onChecked(List<Checker> asking) {
     return found -> {
       found.ifPresent(this::release);
-      asking.forEach(each -> each.loop().execute(() -> each.receiver().accept(found.isPresent())));
+      notifyCheckers(asking, found.isPresent());
     };
   }
 
+  private static void notifyCheckers(List<Checker> asking, boolean alive) {
+    asking.forEach(each -> each.loop().execute(() -> each.receiver().accept(alive)));
+  }
+
   /** Returns a connection to the pool after a complete exchange. Called on its event loop. */
   void release(TargetConnection connection) {
     EventLoop loop = connection.channel().eventLoop();
