--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnection.java
@@ -39,7 +39,7 @@
   /** Maximum idle time of a connection whose target has not stated a limit. */
   private static final long DEFAULT_IDLE_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(8);
 
-  /** Maximum length of a body that is of no use, which is discarded to keep the connection. */
+  /** Maximum length of a body that is discarded to keep the connection. */
   private static final long DISCARD_LIMIT_BYTES = 65_536;
 
   /** Maximum time in which such a body must have ended after the first read. */
@@ -234,7 +234,7 @@
         .schedule(
             () -> {
               if (exchange == exchanges && receiver != null) {
-                failAndLog("a response of no use has not ended after " + DISCARD_LIMIT_MS + " ms");
+                failAndLog("a discarded response has not ended after " + DISCARD_LIMIT_MS + " ms");
               }
             },
             DISCARD_LIMIT_MS,
@@ -356,7 +356,7 @@
       content.release();
     } else if (content.content().readableBytes() > bodyBytesLeft) {
       content.release();
-      failAndLog("a body of no use exceeds " + DISCARD_LIMIT_BYTES + " bytes");
+      failAndLog("a discarded body exceeds " + DISCARD_LIMIT_BYTES + " bytes");
     } else {
       bodyBytesLeft -= content.content().readableBytes();
       decoder.countBody(content);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetPool.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetPool.java
@@ -204,7 +204,7 @@
       unlogged = unloggedFaults;
       unloggedFaults = 0;
     }
-    LOG.info("connection-faulty", "target", target, "reason", reason, "not-logged", unlogged);
+    LOG.info("connection-faulty", "target", target, "reason", reason, "left_out", unlogged);
   }
 
   int openConnections() {
