--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/EndlessResponseTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/EndlessResponseTest.java
@@ -7,8 +7,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpResponse;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.SocketException;
@@ -17,7 +15,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -35,9 +32,6 @@
 import org.waxwingbeam.caller.net.NativeCallerAdapter;
 import org.waxwingbeam.model.Parameter;
 import org.waxwingbeam.model.Parameters;
-import org.waxwingbeam.target.LoadReport;
-import org.waxwingbeam.target.net.NativeTargetAdapter;
-import org.waxwingbeam.target.net.ResponseDisposition;
 import org.waxwingbeam.target.net.TargetAdapter;
 import org.waxwingbeam.target.net.TargetConnections;
 import org.waxwingbeam.target.net.TargetProber;
@@ -282,7 +276,7 @@
     int bufferBytes = each.receiver() == Receiver.BUFFERED_REQUEST ? BUFFERED_BYTES : 0;
     ExchangeContext.Protocols protocols =
         new ExchangeContext.Protocols(
-            new NativeCallerAdapter(), new UndelimitedTargetAdapter(), bufferBytes);
+            new NativeCallerAdapter(), new CloseDelimitedAdapter(), bufferBytes);
     try (EntryFixture entry =
             new EntryFixture(
                 new RotatingDispatcher(List.of(target.id())),
@@ -325,7 +319,7 @@
       throws Exception {
     EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     try {
-      TargetAdapter adapter = new UndelimitedTargetAdapter();
+      TargetAdapter adapter = new CloseDelimitedAdapter();
       TargetConnections connections =
           new TargetConnections(adapter, (int) TimeUnit.SECONDS.toMillis(1));
       TargetProber prober = new TargetProber(connections, adapter, loops.next());
@@ -343,44 +337,4 @@
       loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
   }
-
-  /** The native protocol, but responses may end with their connection. */
-  private static final class UndelimitedTargetAdapter implements TargetAdapter {
-    private final TargetAdapter adapter = new NativeTargetAdapter();
-
-    @Override
-    public boolean acceptsUndelimitedResponses() {
-      return true;
-    }
-
-    @Override
-    public void addRequestHeaders(HttpHeaders headers, AttemptMetadata metadata) {
-      adapter.addRequestHeaders(headers, metadata);
-    }
-
-    @Override
-    public Optional<String> echoedRequestId(HttpHeaders headers) {
-      return adapter.echoedRequestId(headers);
-    }
-
-    @Override
-    public Optional<LoadReport> loadReport(HttpHeaders headers) {
-      return adapter.loadReport(headers);
-    }
-
-    @Override
-    public ResponseDisposition classify(HttpResponse head) {
-      return adapter.classify(head);
-    }
-
-    @Override
-    public void removeInternalHeaders(HttpHeaders headers) {
-      adapter.removeInternalHeaders(headers);
-    }
-
-    @Override
-    public HealthReport healthReport(HttpHeaders headers) {
-      return adapter.healthReport(headers);
-    }
-  }
 }
