--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/EndlessResponseTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/EndlessResponseTest.java
@@ -40,6 +40,7 @@
 import org.waxwingbeam.tools.testing.EntryFixture;
 import org.waxwingbeam.tools.testing.HostileTarget;
 import org.waxwingbeam.tools.testing.RawCaller;
+import org.waxwingbeam.tools.testing.RawRequest;
 import org.waxwingbeam.tools.testing.RawResponse;
 import org.waxwingbeam.tools.testing.RotatingDispatcher;
 
@@ -203,12 +204,12 @@
   void refusalWhoseShortBodyComesLaterKeepsItsConnection() throws Exception {
     HostileTarget.Script script =
         connection -> {
-          connection.readAndCountRun();
-          connection.write(REFUSAL + "content-length: 2\r\n\r\n");
+          String firstId = idHeader(connection.readAndCountRun().orElseThrow());
+          connection.write(REFUSAL + firstId + "content-length: 2\r\n\r\n");
           Thread.sleep(100);
           connection.write("no");
-          connection.readAndCountRun();
-          connection.write(WHOLE);
+          String secondId = idHeader(connection.readAndCountRun().orElseThrow());
+          connection.write(WHOLE.replace("content-length", secondId + "content-length"));
         };
     try (HostileTarget target = new HostileTarget(script);
         EntryFixture entry = ordinaryEntry(target);
@@ -224,6 +225,11 @@
     }
   }
 
+  private static String idHeader(RawRequest request) {
+    String name = "waxwingbeam-request-id";
+    return "%s: %s\r\n".formatted(name, request.header(name).orElseThrow());
+  }
+
   private static EntryFixture ordinaryEntry(HostileTarget target) {
     return new EntryFixture(new RotatingDispatcher(List.of(target.id())), Parameters.NONE);
   }
