The check of a target takes connections as requests do

acquire had a variant that passes over idle connections, for the check alone. Since the check asks for an open idle connection first, there is none left to pass over on its event loop, so the variant and its flag go. The page for callers and the comments say what the check does now. No change of behaviour.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/PoisonCheck.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/PoisonCheck.java
@@ -19,7 +19,7 @@
 
 /**
  * Checks whether a request is known to crash targets, and records crashes during the request. A
- * lost connection counts only once its target has failed to accept another.
+ * lost connection counts only once its target turns out not to have lived on.
  */
 final class PoisonCheck {
   private final ExchangeContext context;
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnections.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetConnections.java
@@ -74,9 +74,9 @@
   }
 
   /**
-   * Checks whether a target that has lost a connection lives on: whether it accepts a new
-   * connection, or completes an exchange on an open one if no more may be opened. The new
-   * connection replaces the lost one in the pool.
+   * Checks whether a target that has lost a connection lives on: whether an idle connection to it
+   * is still open, or it accepts a new one, which replaces the lost one in the pool. If no more may
+   * be opened, it lives on once it completes an exchange on an open one.
    *
    * @param target the target
    * @param limit maximum number of connections of this process to the target, at least 1
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetPool.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetPool.java
@@ -67,20 +67,11 @@
       int limit,
       EventLoop loop,
       Consumer<Optional<TargetConnection>> receiver) {
-    acquire(requestId, limit, loop, receiver, true);
-  }
-
-  private void acquire(
-      Optional<String> requestId,
-      int limit,
-      EventLoop loop,
-      Consumer<Optional<TargetConnection>> receiver,
-      boolean reusesIdle) {
     Optional<TargetConnection> found;
     Optional<TargetConnection> evicted = Optional.empty();
     boolean mayOpen;
     synchronized (lock) {
-      found = reusesIdle ? takeIdle(requestId, loop) : Optional.empty();
+      found = takeIdle(requestId, loop);
       mayOpen = found.isEmpty() && openCount < limit;
       if (mayOpen) {
         openCount++;
@@ -115,7 +106,7 @@
     if (hasOpenIdleConnection()) {
       notifyCheckers(asking, true);
     } else {
-      acquire(Optional.empty(), limit, loop, onChecked(asking), false);
+      acquire(Optional.empty(), limit, loop, onChecked(asking));
     }
   }
 
