A failed exchange asks once whether its request may be poison

The second question in retryUnlessPoison had the answer of the first, under which it runs, and the check that an exchange has ended now stands in abortResponse, as in sendError, instead of in a method of its own. No change of behaviour.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -447,7 +447,7 @@
       ambiguousFailure = Optional.of(ambiguousFailure.orElse(failure));
     }
     if (attempt == respondingAttempt) {
-      poison.whenDecided(this::abortResponseUnlessEnded);
+      poison.whenDecided(this::abortResponse);
       return;
     }
     if (active.isEmpty()) {
@@ -469,7 +469,7 @@
       context.metrics().onRetry(failure.reason());
       startAttempt();
     } else {
-      poison.whenDecided(() -> sendError(failure.kind(), 0));
+      sendError(failure.kind(), 0);
     }
   }
 
@@ -533,13 +533,10 @@
     return Optional.of(Math.max(0, metadata.deadlineMs().getAsLong() - passedMs));
   }
 
-  private void abortResponseUnlessEnded() {
-    if (!ended) {
-      abortResponse();
-    }
-  }
-
   private void abortResponse() {
+    if (ended) {
+      return;
+    }
     context.metrics().onTruncatedResponse();
     reportOutcome(ClaimOutcome.Result.UNKNOWN);
     finish("cut");
