What is logged of an exchange is collected in a class of its own

The head of a target's response is passed on by one method: the same four lines stood in startResponse and sendFailedResponse. No change of behaviour.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -13,7 +13,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 import org.waxwingbeam.caller.AttemptFailure;
 import org.waxwingbeam.caller.RetryPolicy;
@@ -50,9 +49,9 @@
   private final String requestId;
   private final RequestBody body = new RequestBody();
   private final List<TargetAttempt> active = new ArrayList<>(2);
-  private final List<RequestLog.AttemptSummary> attemptSummaries = new ArrayList<>(2);
   private final Set<TargetId> usedTargets = new HashSet<>(2);
   private final ExchangeTimeouts timeouts;
+  private final ExchangeRecord record;
   private final Optional<IdempotencyClaim> claim;
   private final PoisonCheck poison;
 
@@ -60,7 +59,6 @@
   private Optional<BufferedResponse> failedResponse = Optional.empty();
   private TargetAttempt respondingAttempt;
   private long forwardedBytes;
-  private OptionalInt targetStatus = OptionalInt.empty();
   private int attempts;
   // Whether the first attempt no longer waits for the body.
   private boolean prechecked;
@@ -80,6 +78,7 @@
     this.head = head;
     this.requestId = metadata.requestId().orElseGet(context.ids()::nextRequest);
     this.timeouts = new ExchangeTimeouts(policy, metadata, context.clock().getAsLong());
+    this.record = new ExchangeRecord(context, policy, requestId, timeouts);
     this.claim =
         metadata
             .key()
@@ -284,7 +283,7 @@
 
   @Override
   public void onNoTarget(TargetAttempt attempt, Decision.Refused refused) {
-    recordAttempt(attempt, refused.kind().code());
+    record.onAttemptEnded(attempt, refused.kind().code());
     active.remove(attempt);
     if (active.isEmpty()) {
       poison.whenDecided(() -> sendError(refused.kind(), refused.retryAfterMs()));
@@ -333,11 +332,16 @@
     active.add(attempt);
     claim.ifPresent(each -> each.onHead(responseHead));
     timeouts.onResponseHead(context.clock().getAsLong());
+    passOnHead(responseHead);
+    attempt.setAutoRead(caller.isWritable());
+  }
+
+  /** Sends the head of a target's response, without what concerns only the target. */
+  private void passOnHead(HttpResponse responseHead) {
     HopByHopHeaders.removeFromResponse(responseHead.headers());
     context.targetAdapter().removeInternalHeaders(responseHead.headers());
-    targetStatus = OptionalInt.of(responseHead.status().code());
+    record.onTargetStatus(responseHead.status().code());
     caller.writeHead(responseHead);
-    attempt.setAutoRead(caller.isWritable());
   }
 
   @Override
@@ -402,7 +406,7 @@
     context.budgets().of(policy.service()).onSuccess(policy.value(Parameter.RETRY_BUDGET));
     reportOutcome(ClaimOutcome.Result.RAN);
     poison.onResponse();
-    recordAttempt(attempt, ANSWERED);
+    record.onAttemptEnded(attempt, ANSWERED);
     finish(ANSWERED);
     caller.onResponseComplete();
   }
@@ -411,7 +415,7 @@
   private void onFailedResponse(TargetAttempt attempt) {
     active.remove(attempt);
     attempt.target().ifPresent(usedTargets::add);
-    recordAttempt(attempt, "target-failed");
+    record.onAttemptEnded(attempt, "target-failed");
     poison.onResponse();
     BufferedResponse buffered = attempt.takeBufferedResponse();
     buffered.setFraming(true, isHeadRequest());
@@ -427,10 +431,7 @@
   /** Sends the kept response of a target that reports a failure. */
   private void sendFailedResponse(BufferedResponse response) {
     cancelAll(AttemptOutcome.CANCELLED);
-    HopByHopHeaders.removeFromResponse(response.head().headers());
-    context.targetAdapter().removeInternalHeaders(response.head().headers());
-    targetStatus = OptionalInt.of(response.head().status().code());
-    caller.writeHead(response.head());
+    passOnHead(response.head());
     response.drainTo(caller::write);
     reportOutcome(ClaimOutcome.Result.RAN);
     finish("target-failure");
@@ -441,7 +442,7 @@
   public void onFailed(TargetAttempt attempt, AttemptFailure failure) {
     active.remove(attempt);
     attempt.target().ifPresent(usedTargets::add);
-    recordAttempt(attempt, failure.reason().code());
+    record.onAttemptEnded(attempt, failure.reason().code());
     poison.onFailed(attempt, failure);
     if (failure.mayHaveRun()) {
       ambiguousFailure = Optional.of(ambiguousFailure.orElse(failure));
@@ -549,37 +550,13 @@
 
   private void cancelAll(AttemptOutcome outcome) {
     active.forEach(
-        each -> recordAttempt(each, "given-up-" + outcome.name().toLowerCase(Locale.ROOT)));
+        each -> record.onAttemptEnded(each, "given-up-" + outcome.name().toLowerCase(Locale.ROOT)));
     active.forEach(each -> each.cancel(outcome));
     active.clear();
   }
 
-  private void recordAttempt(TargetAttempt attempt, String result) {
-    long start = timeouts.startNanos();
-    attemptSummaries.add(
-        new RequestLog.AttemptSummary(
-            attempt.target(),
-            attempt.basis(),
-            (attempt.sentNanos() - start) / NANOS_PER_MS,
-            (context.clock().getAsLong() - start) / NANOS_PER_MS,
-            result));
-  }
-
   private void finish(String result) {
-    long now = context.clock().getAsLong();
-    context.metrics().onRequestEnded(policy.route(), result, now - timeouts.startNanos());
-    context
-        .requestLog()
-        .logRequest(
-            now,
-            new RequestLog.RequestSummary(
-                requestId,
-                policy,
-                List.copyOf(attemptSummaries),
-                result,
-                targetStatus,
-                now - timeouts.startNanos(),
-                timeouts.headDeadlineNanos() - now));
+    record.onEnded(result);
     // Has no effect if the outcome has already been reported.
     reportOutcome(ClaimOutcome.Result.UNKNOWN);
     ended = true;
