A target's record that can't be used is refused, and passed over by entry instances

A report with port 0 was accepted by control, since a port to listen on may be 0, and failed in every entry instance, which closed its connection to the replica, connected again and received the same record again: it followed no change any more. Seen in OddReportTest before the change: replica-connection-failed reason="... target port 0: expected 1 to 65535"

Malformed addresses in messages between our own processes are skipped with a log line.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/CrashRecordCodec.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/CrashRecordCodec.java
@@ -3,11 +3,14 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 import org.waxwingbeam.caller.CrashRecord;
+import org.waxwingbeam.logging.EventLog;
 import org.waxwingbeam.model.TargetId;
 import org.waxwingbeam.wire.feed.CrashSighting;
 
 /** Converts crash records of suspected poison requests to and from their wire form. */
 final class CrashRecordCodec {
+  private static final EventLog LOG = new EventLog(CrashRecordCodec.class);
+
   private CrashRecordCodec() {}
 
   static CrashSighting encode(CrashRecord record) {
@@ -34,9 +37,13 @@
 
   private static Optional<TargetId> parseTargetId(String text) {
     int colon = text.lastIndexOf(':');
-    return colon < 1
-        ? Optional.empty()
-        : Optional.of(
-            new TargetId(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1))));
+    try {
+      return Optional.of(
+          new TargetId(
+              text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1))));
+    } catch (IllegalArgumentException malformed) {
+      LOG.warn("crash-record-malformed", "target", text, "reason", malformed.getMessage());
+      return Optional.empty();
+    }
   }
 }
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -28,6 +28,7 @@
 import org.waxwingbeam.settings.EntrySettings;
 import org.waxwingbeam.target.LoadReport;
 import org.waxwingbeam.target.TargetDirectory;
+import org.waxwingbeam.target.TargetRecordValidator;
 import org.waxwingbeam.target.net.TargetConnections;
 import org.waxwingbeam.target.net.TargetProber;
 import org.waxwingbeam.target.placement.PlacementContext;
@@ -373,6 +374,11 @@
   }
 
   private void applyTarget(TargetRecord record) {
+    Optional<String> fault = TargetRecordValidator.fault(record);
+    if (fault.isPresent()) {
+      LOG.warn("target-ignored", "target", record.getId(), "reason", fault.get());
+      return;
+    }
     long now = System.nanoTime();
     if (targetDirectory.merge(now, record) == TargetDirectory.MergeResult.CHANGED) {
       targetDirectory.find(now, record.getId()).ifPresent(each -> dispatcher.update(now, each));
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedClient.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedClient.java
@@ -142,12 +142,16 @@
 
   private static Optional<Endpoint> endpoint(String text) {
     int colon = text.lastIndexOf(':');
-    if (colon < 1) {
-      LOG.warn("replica-address-malformed", "address", text);
-      return Optional.empty();
+    try {
+      if (colon >= 1) {
+        return Optional.of(
+            new Endpoint(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1))));
+      }
+    } catch (IllegalArgumentException malformed) {
+      LOG.debug("replica-port-malformed", "reason", malformed.getMessage());
     }
-    return Optional.of(
-        new Endpoint(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1))));
+    LOG.warn("replica-address-malformed", "address", text);
+    return Optional.empty();
   }
 
   @Override
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/operator/RoutingDocumentValidator.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/operator/RoutingDocumentValidator.java
@@ -57,7 +57,7 @@
     boolean negative =
         route.getServicesList().stream()
             .anyMatch(each -> each.getWeight() < 0 || Double.isNaN(each.getWeight()));
-    if (negative || !(weight > 0)) {
+    if (negative || !(weight > 0) || Double.isInfinite(weight)) {
       faults.add(
           "route '%s': expected weights that add up to more than 0, found %s"
               .formatted(route.getName(), weight));
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/peer/net/LoadExchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/peer/net/LoadExchange.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.waxwingbeam.logging.EventLog;
@@ -74,13 +75,19 @@
 
   /** Sets the addresses, as host:port, of the entry instances to which reports are sent. */
   public void setPeers(List<String> addresses) {
-    peers = addresses.stream().map(LoadExchange::parseAddress).toList();
+    peers = addresses.stream().map(LoadExchange::parseAddress).flatMap(Optional::stream).toList();
   }
 
-  private static InetSocketAddress parseAddress(String text) {
+  private static Optional<InetSocketAddress> parseAddress(String text) {
     int colon = text.lastIndexOf(':');
-    return new InetSocketAddress(
-        text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    try {
+      return Optional.of(
+          new InetSocketAddress(
+              text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1))));
+    } catch (IllegalArgumentException malformed) {
+      LOG.warn("peer-address-malformed", "address", text, "reason", malformed.getMessage());
+      return Optional.empty();
+    }
   }
 
   /**
