A request that could outlive a planned stop is refused as not run

After the listening time of a planned stop, a request whose head was half in, or that came on a connection still open, was taken, passed on and cut without an answer at the end of the grace. ShutdownWindow now accepts what is sure to end in time, and idempotent requests while the instance still listens; anything else gets 503 at once. The end of the stop also waits for heads that have arrived in part.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
@@ -237,7 +237,7 @@
         new TargetConnections(),
         new ClassifierCache(appliedConfiguration),
         ExchangeContext.Protocols.NATIVE,
-        this::refusal,
+        (maxDurationNanos, idempotent) -> refusal(),
         this::connectionShare,
         new RetryBudgets(),
         new RequestIds(requestIdPrefix(), bootId),
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.waxwingbeam.caller.PoisonRequestDetector;
 import org.waxwingbeam.caller.RouteTable;
+import org.waxwingbeam.caller.ShutdownWindow;
 import org.waxwingbeam.caller.SlidingWindowBudget;
 import org.waxwingbeam.caller.net.CallerServer;
 import org.waxwingbeam.caller.net.ExchangeContext;
@@ -119,6 +120,7 @@
   private RoutingState routingState = RoutingState.getDefaultInstance();
   private RouteTable routeTable = new RouteTable();
   private EntrySettings.CallerLimits callerLimits = DEFAULT_CALLER_LIMITS;
+  private final ShutdownWindow shutdownWindow = new ShutdownWindow();
   private volatile boolean draining;
 
   /**
@@ -180,7 +182,12 @@
             connections,
             (method, host, uri) -> routeTable.classify(method, host, uri),
             protocols,
-            Optional::empty,
+            (maxDurationNanos, idempotent) ->
+                Optional.of(ErrorKind.SHUTTING_DOWN)
+                    .filter(
+                        kind ->
+                            !shutdownWindow.admits(
+                                System.nanoTime(), maxDurationNanos, idempotent)),
             this::connectionShare,
             new RetryBudgets(
                 () -> new SlidingWindowBudget(settings.retryLimits(), this::fleetSize)),
@@ -283,8 +290,11 @@
    * @param allowedMs time after which the process is killed, in milliseconds
    */
   public void drain(long allowedMs) throws InterruptedException {
-    final long endNanos = System.nanoTime() + (allowedMs - SHUTDOWN_MARGIN_MS) * NANOS_PER_MS;
+    final long startNanos = System.nanoTime();
+    final long endNanos = startNanos + (allowedMs - SHUTDOWN_MARGIN_MS) * NANOS_PER_MS;
+    final long listenMs = Math.min(LISTEN_WHILE_UNREADY_MS, allowedMs / 2);
     draining = true;
+    shutdownWindow.begin(startNanos + listenMs * NANOS_PER_MS, endNanos);
     callerServer.announceClose();
     LOG.info(
         "entry-leaving",
@@ -292,7 +302,7 @@
         settings.instance(),
         "under_way",
         callerServer.activeExchanges());
-    Thread.sleep(Math.min(LISTEN_WHILE_UNREADY_MS, allowedMs / 2));
+    Thread.sleep(listenMs);
     callerServer.stopListening();
     callerServer.drain();
     awaitIdle(endNanos);
@@ -306,7 +316,7 @@
     long idleMs = 0;
     while (idleMs < MIN_IDLE_MS && System.nanoTime() - endNanos < 0) {
       Thread.sleep(DRAIN_POLL_MS);
-      idleMs = callerServer.activeExchanges() == 0 ? idleMs + DRAIN_POLL_MS : 0;
+      idleMs = callerServer.isIdle() ? idleMs + DRAIN_POLL_MS : 0;
     }
   }
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerConnection.java
@@ -104,6 +104,11 @@
     return !channel.isActive() || channel.isWritable();
   }
 
+  /** Returns whether only a part of a request head has arrived. May be called from any thread. */
+  boolean isReceivingHead() {
+    return decoder.isWithinHead();
+  }
+
   /** Closes the connection now if it is idle, otherwise after the current exchange. */
   void drain() {
     keepAlive = false;
@@ -215,12 +220,12 @@
   }
 
   private void serve(HttpRequest head, long length) {
-    Optional<ErrorKind> refusal = context.refusalReason().get();
     Optional<RequestMetadata> metadata = context.callerAdapter().readMetadata(head.headers());
     Classification classification =
         context
             .router()
             .classify(head.method().name(), head.headers().get(HttpHeaderNames.HOST), head.uri());
+    Optional<ErrorKind> refusal = admissionRefusal(classification, metadata);
     if (refusal.isPresent()) {
       keepAlive = false;
       refuse(refusal.get(), head, metadata.flatMap(CallerConnection::deadlineMs));
@@ -239,6 +244,18 @@
     }
   }
 
+  private Optional<ErrorKind> admissionRefusal(
+      Classification classification, Optional<RequestMetadata> metadata) {
+    if (!(classification instanceof Classification.Accepted accepted)) {
+      return context.admission().refusal(0, true);
+    }
+    long limitMs = accepted.policy().value(Parameter.DEADLINE);
+    long maxMs = Math.min(limitMs, metadata.flatMap(CallerConnection::deadlineMs).orElse(limitMs));
+    return context
+        .admission()
+        .refusal(TimeUnit.MILLISECONDS.toNanos(maxMs), accepted.policy().idempotent());
+  }
+
   /** Refuses a request that has no route or may not be served now. */
   private void refuse(ErrorKind kind, HttpRequest head, Optional<Long> leftMs) {
     logRefusal(kind, Optional.of(head), Optional.empty());
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerServer.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerServer.java
@@ -88,9 +88,15 @@
     return exchanges.values().stream().mapToInt(ActiveExchanges::size).sum();
   }
 
+  /** Returns whether no request is active and none has arrived in part. */
+  public boolean isIdle() {
+    return activeExchanges() == 0
+        && connections.stream().noneMatch(CallerConnection::isReceivingHead);
+  }
+
   /**
    * Closes idle connections now and the others after their current request. Requests that still
-   * arrive are admitted or refused according to {@link ExchangeContext#refusalReason}.
+   * arrive are admitted or refused according to {@link ExchangeContext#admission}.
    */
   public void drain() {
     connections.forEach(each -> each.loop().execute(each::drain));
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeContext.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeContext.java
@@ -3,7 +3,6 @@
 import java.util.Optional;
 import java.util.function.IntUnaryOperator;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.waxwingbeam.caller.PoisonRequestDetector;
 import org.waxwingbeam.caller.RequestRouter;
@@ -22,7 +21,7 @@
  * @param connections the pooled connections to targets
  * @param router finds the routes of requests by the applied configuration
  * @param protocols the protocols of callers and targets
- * @param refusalReason returns the error with which new requests are refused now, or empty
+ * @param admission decides whether new requests are accepted now
  * @param connectionLimit returns this entry instance's part of a target's connection limit
  * @param budgets the retry budgets by service
  * @param ids generates the ids of requests and attempts
@@ -40,7 +39,7 @@
     TargetConnections connections,
     RequestRouter router,
     Protocols protocols,
-    Supplier<Optional<ErrorKind>> refusalReason,
+    RequestAdmission admission,
     IntUnaryOperator connectionLimit,
     RetryBudgets budgets,
     RequestIds ids,
@@ -52,6 +51,20 @@
     RandomGenerator random,
     LongSupplier clock) {
 
+  /** Decides whether an entry instance accepts new requests. */
+  public interface RequestAdmission {
+    /** Accepts every request. */
+    RequestAdmission ALWAYS = (maxDurationNanos, idempotent) -> Optional.empty();
+
+    /**
+     * Returns the error with which a request is refused, or empty if it is accepted.
+     *
+     * @param maxDurationNanos the longest time that the request may take; 0 if it has no route
+     * @param idempotent whether the request may run more than once
+     */
+    Optional<ErrorKind> refusal(long maxDurationNanos, boolean idempotent);
+  }
+
   /**
    * The protocols of callers and targets.
    *
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/RequestDecoder.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/RequestDecoder.java
@@ -15,7 +15,8 @@
 
   private final LongSupplier clock;
   private boolean inHead = true;
-  private boolean headBegun;
+  // Written on the event loop, and read by the thread that waits for the end of a shutdown.
+  private volatile boolean headBegun;
   private long headBegunNanos;
 
   /**
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/testing/EntryFixture.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/testing/EntryFixture.java
@@ -93,7 +93,8 @@
             connections,
             new ClassifierCache(applied),
             protocols,
-            () -> Optional.of(ErrorKind.SHUTTING_DOWN).filter(kind -> draining.get()),
+            (maxDurationNanos, idempotent) ->
+                Optional.of(ErrorKind.SHUTTING_DOWN).filter(kind -> draining.get()),
             limit -> limit,
             new RetryBudgets(),
             new RequestIds(shared.instance() + "-", System.currentTimeMillis()),
