In a large fleet, targets are selected from a subset by status checks on demand

Each entry instance checked every target in advance and sent the result to 16 others.

Where reports don't reach all others, an entry instance now uses 8 targets of its data centre and 8 others (TargetSubset, rendezvous hashing), checks three of them when a request arrives and no fresh report shows an idle one, and sends the request to the first that is idle, at the latest after 20 ms (PendingSelections). Load reports are not sent to others there. Cold targets are paced for the entry instances that have them in their local subset.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -69,6 +69,12 @@
   /** Interval at which status checks that are due are sent. */
   private static final long PROBE_TICK_MS = 20;
 
+  /** The same if targets are checked only for requests, and otherwise to end their pause. */
+  private static final long SLOW_PROBE_TICK_MS = 100;
+
+  /** Time after the first status check for a request at which overdue ones are given up. */
+  private static final long CHECK_TICK_MS = 21;
+
   private static final int CONNECT_TIMEOUT_MS = 300;
 
   /** Number of entry instances that is assumed until a control replica reports it. */
@@ -110,6 +116,7 @@
   private final PoisonRequestDetector poisonDetector = new PoisonRequestDetector(CRASH_LIMIT);
   private final SplittableRandom random = new SplittableRandom();
   private final PlacementDispatcher dispatcher;
+  private final SharedDispatcher sharedDispatcher;
   private final FeedClient feed;
   private final LoadExchange loadExchange;
   private final LoadPeerLists loadPeers;
@@ -121,6 +128,7 @@
   private RouteTable routeTable = new RouteTable();
   private EntrySettings.CallerLimits callerLimits = DEFAULT_CALLER_LIMITS;
   private final ShutdownWindow shutdownWindow = new ShutdownWindow();
+  private boolean checkTickScheduled;
   private volatile boolean draining;
 
   /**
@@ -156,12 +164,16 @@
     dispatcher =
         new PlacementDispatcher(
             new PlacementContext(
+                settings.instance().value(),
                 settings.dataCentre().value(),
                 this::fleetSize,
+                this::reportsReachAll,
+                this::sendProbeSoon,
                 random,
                 new LoadReportSender(),
                 settings.checksPerSecond(),
                 new StoppedMoves()));
+    sharedDispatcher = new SharedDispatcher(dispatcher, System::nanoTime);
     loadExchange = LoadExchange.start(group, settings.loadReportAddress(), this::applyLoads);
     loadPeers = new LoadPeerLists();
     connections = new TargetConnections(protocols.target(), CONNECT_TIMEOUT_MS);
@@ -178,7 +190,7 @@
     statusCheckLog = new StatusCheckLog(entryMetrics);
     ExchangeContext context =
         new ExchangeContext(
-            new SharedDispatcher(dispatcher, System::nanoTime),
+            sharedDispatcher,
             connections,
             (method, host, uri) -> routeTable.classify(method, host, uri),
             protocols,
@@ -213,7 +225,7 @@
       EventLoopGroup group, Settings settings, ExchangeContext.Protocols protocols) {
     RoutedEntry entry = new RoutedEntry(group, settings, protocols);
     group.next().scheduleAtFixedRate(entry::tick, 0, FEED_TICK_MS, TimeUnit.MILLISECONDS);
-    group.next().scheduleAtFixedRate(entry::sendDueProbes, 0, PROBE_TICK_MS, TimeUnit.MILLISECONDS);
+    group.next().execute(entry::sendDueProbes);
     LOG.info(
         "entry-started",
         "instance",
@@ -247,6 +259,26 @@
         .ifPresent(
             assignment ->
                 dispatcher.startDueProbes(System.nanoTime(), assignment).forEach(this::sendProbe));
+    long delayMs = reportsReachAll() ? PROBE_TICK_MS : SLOW_PROBE_TICK_MS;
+    group.next().schedule(this::sendDueProbes, delayMs, TimeUnit.MILLISECONDS);
+  }
+
+  private boolean reportsReachAll() {
+    return loadPeers.nameAllOthers();
+  }
+
+  /** Sends a status check that a request waits for, after the dispatcher has queued the request. */
+  private void sendProbeSoon(ProbeRequest probe) {
+    group.next().execute(() -> sendProbe(probe));
+    if (!checkTickScheduled) {
+      checkTickScheduled = true;
+      group.next().schedule(this::tickDispatcher, CHECK_TICK_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void tickDispatcher() {
+    checkTickScheduled = false;
+    sharedDispatcher.tick();
   }
 
   private void sendProbe(ProbeRequest probe) {
@@ -255,7 +287,7 @@
         connectionShare(probe.connectionLimit()),
         result -> {
           statusCheckLog.record(probe, result);
-          dispatcher.completeProbe(System.nanoTime(), probe, result);
+          sharedDispatcher.deliver(dispatcher.completeProbe(System.nanoTime(), probe, result));
         });
   }
 
@@ -424,12 +456,20 @@
 
     @Override
     public void onRequestSent(TargetId target) {
-      loadExchange.send(loadOf(target).setBegun(1).build());
+      send(loadOf(target).setBegun(1));
     }
 
     @Override
     public void onColdTarget(TargetId target, int coldLeftMs) {
-      loadExchange.send(loadOf(target).setColdLeftMs(coldLeftMs).build());
+      send(loadOf(target).setColdLeftMs(coldLeftMs));
+    }
+
+    // In a fleet of which each report reaches only a part, it would hardly reach those that use the
+    // same target.
+    private void send(TargetLoad.Builder load) {
+      if (reportsReachAll()) {
+        loadExchange.send(load.build());
+      }
     }
 
     private static TargetLoad.Builder loadOf(TargetId target) {
@@ -438,13 +478,12 @@
 
     @Override
     public void onReport(TargetId target, LoadReport report) {
-      loadExchange.send(
+      send(
           loadOf(target)
               .setRunning(report.inFlight())
               .setWaiting(report.queued())
               .setSlots(report.slots())
-              .setSlownessPercent(report.slownessPercent())
-              .build());
+              .setSlownessPercent(report.slownessPercent()));
     }
   }
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/SharedDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/SharedDispatcher.java
@@ -70,7 +70,8 @@
     deliver(dispatcher.tick(clock.getAsLong()));
   }
 
-  private void deliver(List<Decision> decisions) {
+  /** Delivers decisions that other events than those reported to this class have made final. */
+  public void deliver(List<Decision> decisions) {
     decisions.forEach(this::deliver);
   }
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/LoadPeerLists.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/LoadPeerLists.java
@@ -47,6 +47,13 @@
         .orElse(List.of());
   }
 
+  /** Returns whether the lists name every other entry instance, so that all receive each report. */
+  public boolean nameAllOthers() {
+    return listWithMostEntries()
+        .filter(each -> each.getAddressesCount() < each.getEntries() - 1)
+        .isEmpty();
+  }
+
   /** Returns this entry instance's share of the status checks, once a replica has sent a list. */
   public Optional<ProbeAssignment> probeAssignment() {
     return listWithMostEntries()
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacedTarget.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacedTarget.java
@@ -14,6 +14,9 @@
   /** Queue length that is assumed for a target that has refused a request as overloaded. */
   private static final int ASSUMED_QUEUE = 4;
 
+  /** Reported slowness up to which a target runs at about its usual speed. */
+  private static final double IDLE_SLOWNESS = 1.3;
+
   /** Factor by which requests at a cold target take longer than usual. */
   private static final double COLD_SLOWNESS = 2;
 
@@ -115,7 +118,7 @@
    */
   boolean isProbeDue(long nowNanos, int rank) {
     if (failureTracker.isTrialDue(nowNanos)) {
-      return probes.mayCheckAgain(nowNanos);
+      return isTrialProbeDue(nowNanos);
     }
     long ageNanos = load.reportAgeNanos(nowNanos).orElse(nowNanos - createdNanos);
     return isReady()
@@ -124,6 +127,28 @@
         && probes.isDue(nowNanos, ageNanos, rank);
   }
 
+  /** Returns whether the target is paused and a status check may end its pause. */
+  boolean isTrialProbeDue(long nowNanos) {
+    return failureTracker.isTrialDue(nowNanos) && probes.mayCheckAgain(nowNanos);
+  }
+
+  /** Returns whether the latest load report still describes the target. */
+  boolean hasFreshReport(long nowNanos) {
+    return load.reportAgeNanos(nowNanos).filter(ProbeSchedule::isFresh).isPresent();
+  }
+
+  /** Returns whether the response to a status check is outstanding. */
+  boolean isProbeInFlight() {
+    return probes.isInFlight();
+  }
+
+  /** Returns whether the target can run one more request at its usual speed at once. */
+  boolean isIdle(long nowNanos) {
+    return hasFreshReport(nowNanos)
+        && load.slowness(nowNanos, 1) <= IDLE_SLOWNESS
+        && inFlight + load.requestsOfOthers(nowNanos, 0) + 1 < slots();
+  }
+
   void startProbe(long nowNanos) {
     probes.recordStart(nowNanos);
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementContext.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementContext.java
@@ -1,5 +1,7 @@
 package org.waxwingbeam.target.placement;
 
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.waxwingbeam.model.TargetId;
@@ -8,17 +10,24 @@
 /**
  * Dependencies and settings that the placement of all services shares.
  *
+ * @param instance the name of this entry instance
  * @param dataCentre the data centre of this entry instance
  * @param fleetSize returns the number of entry instances
  * @param random source of random numbers
+ * @param reportsReachAll returns whether every entry instance receives the load reports of all
+ *     others
+ * @param probeSender sends the status checks that a request waits for
  * @param loadListener is notified of what this entry instance learns about the load of targets
  * @param checksPerSecond status checks that all entry instances together may send to one target
  * @param stoppedMoves the moves that this entry instance has stopped on its own
  * @since 0.1.0
  */
 public record PlacementContext(
+    String instance,
     String dataCentre,
     IntSupplier fleetSize,
+    BooleanSupplier reportsReachAll,
+    Consumer<ProbeRequest> probeSender,
     RandomGenerator random,
     LoadListener loadListener,
     double checksPerSecond,
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementDispatcher.java
@@ -113,9 +113,24 @@
    * Records the result of a status check.
    *
    * @param nowNanos the current time
+   * @return decisions for requests that waited for it
    */
-  public void completeProbe(long nowNanos, ProbeRequest probe, ProbeResult result) {
-    services.values().forEach(each -> each.completeProbe(nowNanos, probe, result));
+  public List<Decision> completeProbe(long nowNanos, ProbeRequest probe, ProbeResult result) {
+    return recorded(
+        services.values().stream()
+            .flatMap(each -> each.completeProbe(nowNanos, probe, result).stream())
+            .toList());
+  }
+
+  private List<Decision> recorded(List<Decision> decisions) {
+    decisions.forEach(this::record);
+    return decisions;
+  }
+
+  private void record(Decision decision) {
+    if (decision instanceof Decision.Refused) {
+      inFlight.remove(decision.attemptId());
+    }
   }
 
   private ServicePlacement service(String name) {
@@ -133,10 +148,9 @@
     if (nowNanos - request.deadlineNanos() >= 0) {
       return new Decision.Refused(request.attemptId(), ErrorKind.DEADLINE_BEFORE_START, 0);
     }
+    inFlight.put(request.attemptId(), request);
     Decision decision = service(request.service().value()).request(nowNanos, request);
-    if (decision instanceof Decision.Assigned) {
-      inFlight.put(request.attemptId(), request);
-    }
+    record(decision);
     return decision;
   }
 
@@ -152,12 +166,16 @@
 
   @Override
   public void cancel(long nowNanos, long attemptId) {
-    // Attempts are assigned or refused at once and never queued.
+    DispatchRequest request = inFlight.remove(attemptId);
+    if (request != null) {
+      service(request.service().value()).cancel(attemptId);
+    }
   }
 
   @Override
   public List<Decision> tick(long nowNanos) {
-    return List.of();
+    return recorded(
+        services.values().stream().flatMap(each -> each.tick(nowNanos).stream()).toList());
   }
 
   /**
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ProbeSchedule.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ProbeSchedule.java
@@ -62,6 +62,16 @@
     return !inFlight && isIntervalOver(nowNanos);
   }
 
+  /** Returns whether a load report of the given age still describes the target. */
+  static boolean isFresh(long reportAgeNanos) {
+    return reportAgeNanos < REPORT_LIFETIME_NANOS;
+  }
+
+  /** Returns whether the response to a check is outstanding. */
+  boolean isInFlight() {
+    return inFlight;
+  }
+
   private boolean isIntervalOver(long nowNanos) {
     return !everSent || nowNanos - lastStartNanos >= lifetimeNanos;
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
@@ -32,12 +32,24 @@
   /** Retry-After of a refusal because no target can respond in time. */
   private static final long OVERLOADED_RETRY_MS = 200;
 
+  /**
+   * Targets whose status is checked for a request without fresh load reports. At the shares of slow
+   * targets that are usual, all three are rarely slow.
+   */
+  private static final int CHECKED_CANDIDATES = 3;
+
   /** Range of the random factor that keeps entry instances from choosing the same target. */
   private static final double JITTER = 0.1;
 
   /** Factor on the score of targets in other data centres, for the longer network path. */
   private static final double OTHER_DATA_CENTRE_FACTOR = 1.04;
 
+  /**
+   * The same in a large fleet, where targets are selected by their status at that moment: another
+   * data centre is worth its traffic only if the checked targets of this one are slow or full.
+   */
+  private static final double CHECKED_OTHER_DATA_CENTRE_FACTOR = 1.25;
+
   /** Weight of the latest response in the moving averages of the service. */
   private static final double AVERAGE_WEIGHT = 0.05;
 
@@ -51,6 +63,9 @@
   private final Map<String, PlacedTarget> targets = new HashMap<>();
   private Map<TargetId, PlacedTarget> byAddress = Map.of();
   private final MoveSamples samples = new MoveSamples();
+  private final PendingSelections pending = new PendingSelections();
+  private Optional<TargetSubset> subset = Optional.empty();
+  private int subsetFleetSize;
 
   /** Moving average of the response time by route, at a target of usual speed. */
   private final Map<RouteName, Double> usualNanos = new HashMap<>();
@@ -83,6 +98,7 @@
 
   void update(long nowNanos, TargetRecord record) {
     store(nowNanos, record);
+    subset = Optional.empty();
     byAddress =
         targets.values().stream()
             .collect(Collectors.toMap(PlacedTarget::id, each -> each, (one, other) -> other));
@@ -133,28 +149,54 @@
     if (!hasStatusChecks()) {
       return List.of();
     }
+    // Checks in advance are worth their cost only if all entry instances learn of the results.
+    Predicate<PlacedTarget> isDue =
+        context.reportsReachAll().getAsBoolean()
+            ? each -> each.isProbeDue(nowNanos, assignment.rank(each.record().getId()))
+            : each -> each.isTrialProbeDue(nowNanos);
     List<PlacedTarget> due =
         targets.values().stream()
             .filter(each -> !dataCentresOut.contains(each.record().getDataCentre()))
-            .filter(each -> each.isProbeDue(nowNanos, assignment.rank(each.record().getId())))
+            .filter(isDue)
             .toList();
-    due.forEach(each -> each.startProbe(nowNanos));
-    return due.stream()
-        .map(
-            each ->
-                new ProbeRequest(
-                    each.id(),
-                    each.record().getId(),
-                    terms.getHealthPath(),
-                    terms.getConnectionLimit()))
-        .toList();
+    return due.stream().map(each -> startProbe(nowNanos, each)).toList();
   }
 
-  /** Records the result of a status check. */
-  void completeProbe(long nowNanos, ProbeRequest probe, ProbeResult result) {
-    find(probe.target())
-        .filter(each -> each.record().getId().equals(probe.instance()))
-        .ifPresent(each -> completeProbe(nowNanos, each, result));
+  private ProbeRequest startProbe(long nowNanos, PlacedTarget target) {
+    target.startProbe(nowNanos);
+    return new ProbeRequest(
+        target.id(), target.record().getId(), terms.getHealthPath(), terms.getConnectionLimit());
+  }
+
+  /**
+   * Records the result of a status check and returns the decisions for requests that waited for it.
+   */
+  List<Decision> completeProbe(long nowNanos, ProbeRequest probe, ProbeResult result) {
+    Optional<PlacedTarget> target =
+        find(probe.target()).filter(each -> each.record().getId().equals(probe.instance()));
+    target.ifPresent(each -> completeProbe(nowNanos, each, result));
+    boolean idle = target.filter(each -> isUsableAtOnce(nowNanos, each)).isPresent();
+    return decide(nowNanos, pending.onChecked(probe.instance(), idle));
+  }
+
+  private boolean isUsableAtOnce(long nowNanos, PlacedTarget target) {
+    return target.isReady() && !target.isCold(nowNanos) && target.isIdle(nowNanos);
+  }
+
+  /** Returns the decisions for requests that have waited long enough for status checks. */
+  List<Decision> tick(long nowNanos) {
+    return decide(nowNanos, pending.takeDue(nowNanos));
+  }
+
+  /** Removes a request that waits for status checks. */
+  void cancel(long attemptId) {
+    pending.cancel(attemptId);
+  }
+
+  private List<Decision> decide(long nowNanos, List<PendingSelections.Pending> due) {
+    return due.stream()
+        .map(each -> decide(nowNanos, each.request(), ready(), each.version()))
+        .toList();
   }
 
   private void completeProbe(long nowNanos, PlacedTarget target, ProbeResult result) {
@@ -162,6 +204,7 @@
         nowNanos, result, terms.getColdStartMs() * NANOS_PER_MS, coldIntervalNanos());
     if (result instanceof ProbeResult.Answered responded) {
       responded.load().ifPresent(each -> context.loadListener().onReport(target.id(), each));
+      responded.load().ifPresent(each -> updateAverages(each, target.inFlight()));
       if (responded.coldLeftMs() > 0) {
         context.loadListener().onColdTarget(target.id(), responded.coldLeftMs());
       }
@@ -173,12 +216,85 @@
   }
 
   private long coldIntervalNanos() {
-    return ColdTargetPacer.intervalNanos(terms.getColdPerSecond(), context.fleetSize().getAsInt());
+    int senders = subset().map(TargetSubset::maxLocalSenders).orElse(fleetSize());
+    return ColdTargetPacer.intervalNanos(terms.getColdPerSecond(), senders);
   }
 
-  /** Assigns a request to a target, or refuses it if no target can respond in time. */
+  private int fleetSize() {
+    return context.fleetSize().getAsInt();
+  }
+
+  /** Returns the targets that this entry instance uses, or empty if it uses all of them. */
+  private Optional<TargetSubset> subset() {
+    if (context.reportsReachAll().getAsBoolean()) {
+      return Optional.empty();
+    }
+    if (subset.isEmpty() || subsetFleetSize != fleetSize()) {
+      subsetFleetSize = fleetSize();
+      List<TargetSubset.Member> members =
+          targets.values().stream()
+              .map(PlacedTarget::record)
+              .filter(each -> each.getState() == TargetRecord.State.READY)
+              .map(each -> new TargetSubset.Member(each.getId(), each.getDataCentre()))
+              .toList();
+      subset =
+          Optional.of(
+              TargetSubset.of(members, context.instance(), context.dataCentre(), subsetFleetSize));
+    }
+    return subset;
+  }
+
+  /**
+   * Assigns a request to a target, refuses it if no target can respond in time, or queues it until
+   * some targets have responded to a status check.
+   */
   Decision request(long nowNanos, DispatchRequest request) {
-    Selection selection = select(nowNanos, request);
+    List<PlacedTarget> ready = ready();
+    Predicate<String> version =
+        trafficSplit.nextVersions(move, ready, context.stoppedMoves().isStopped(move));
+    List<PlacedTarget> awaited =
+        hasStatusChecks() && subset().isPresent()
+            ? candidatesToCheck(nowNanos, request, ready, version)
+            : List.of();
+    if (awaited.isEmpty()) {
+      return decide(nowNanos, request, ready, version);
+    }
+    pending.add(
+        nowNanos, request, version, awaited.stream().map(each -> each.record().getId()).toList());
+    awaited.stream()
+        .filter(each -> !each.isProbeInFlight())
+        .map(each -> startProbe(nowNanos, each))
+        .forEach(context.probeSender());
+    return new Decision.Queued(request.attemptId());
+  }
+
+  /** Returns the best targets, or none if the best one needs no status check. */
+  private List<PlacedTarget> candidatesToCheck(
+      long nowNanos, DispatchRequest request, List<PlacedTarget> ready, Predicate<String> version) {
+    List<PlacedTarget> candidates =
+        eligible(nowNanos, request, ready, version)
+            .filter(each -> !each.isCold(nowNanos))
+            .filter(each -> each.failureTracker().isUsable(nowNanos, true))
+            .map(each -> new Ranked(each, jitteredScore(nowNanos, each)))
+            .sorted(Comparator.comparingDouble(Ranked::score))
+            .limit(CHECKED_CANDIDATES)
+            .map(Ranked::target)
+            .toList();
+    return candidates.stream().anyMatch(each -> each.isIdle(nowNanos))
+        ? List.of()
+        : candidates.stream().filter(each -> !each.hasFreshReport(nowNanos)).toList();
+  }
+
+  private List<PlacedTarget> ready() {
+    return targets.values().stream()
+        .filter(PlacedTarget::isReady)
+        .filter(each -> !dataCentresOut.contains(each.record().getDataCentre()))
+        .toList();
+  }
+
+  private Decision decide(
+      long nowNanos, DispatchRequest request, List<PlacedTarget> ready, Predicate<String> version) {
+    Selection selection = select(nowNanos, request, ready, version);
     return switch (selection) {
       case Selection.NoTarget noTarget ->
           new Decision.Refused(request.attemptId(), ErrorKind.NO_TARGET, NO_TARGET_RETRY_MS);
@@ -210,14 +326,8 @@
     record NoTarget() implements Selection {}
   }
 
-  private Selection select(long nowNanos, DispatchRequest request) {
-    List<PlacedTarget> ready =
-        targets.values().stream()
-            .filter(PlacedTarget::isReady)
-            .filter(each -> !dataCentresOut.contains(each.record().getDataCentre()))
-            .toList();
-    Predicate<String> version =
-        trafficSplit.nextVersions(move, ready, context.stoppedMoves().isStopped(move));
+  private Selection select(
+      long nowNanos, DispatchRequest request, List<PlacedTarget> ready, Predicate<String> version) {
     return best(nowNanos, request, ready, version)
         .or(() -> best(nowNanos, request, ready, this::isProven))
         .<Selection>map(each -> new Selection.Selected(each, ready.size()))
@@ -258,16 +368,16 @@
 
   private Optional<PlacedTarget> best(
       long nowNanos, DispatchRequest request, List<PlacedTarget> ready, Predicate<String> version) {
-    List<PlacedTarget> eligible =
-        ready.stream()
-            .filter(each -> version.test(each.record().getVersion()))
-            .filter(each -> !request.excluded().contains(each.id()))
-            .filter(each -> each.allowsRequest(nowNanos))
-            .toList();
+    List<PlacedTarget> eligible = eligible(nowNanos, request, ready, version).toList();
     boolean checked = hasStatusChecks();
-    return lowestScore(
-            nowNanos,
-            eligible.stream().filter(each -> each.failureTracker().isUsable(nowNanos, checked)))
+    List<PlacedTarget> usable =
+        eligible.stream()
+            .filter(each -> each.failureTracker().isUsable(nowNanos, checked))
+            .toList();
+    // An estimate without a recent report may be better than one with it, but only by chance.
+    return lowestScore(nowNanos, usable.stream().filter(each -> isUsableAtOnce(nowNanos, each)))
+        .filter(each -> subset().isPresent())
+        .or(() -> lowestScore(nowNanos, usable.stream()))
         .or(
             () ->
                 eligible.stream()
@@ -276,6 +386,38 @@
                             each -> each.failureTracker().pausedUntilNanos())));
   }
 
+  /**
+   * Returns the targets that may serve a request: the usable ones of the subset or, if there are
+   * none, all that are not cold.
+   */
+  private Stream<PlacedTarget> eligible(
+      long nowNanos, DispatchRequest request, List<PlacedTarget> ready, Predicate<String> version) {
+    List<PlacedTarget> allowed =
+        ready.stream()
+            .filter(each -> version.test(each.record().getVersion()))
+            .filter(each -> !request.excluded().contains(each.id()))
+            .filter(each -> each.allowsRequest(nowNanos))
+            .toList();
+    Optional<TargetSubset> own = subset();
+    if (own.isEmpty()) {
+      return allowed.stream();
+    }
+    List<PlacedTarget> preferred =
+        allowed.stream()
+            .filter(each -> isInSubset(nowNanos, each, own.get()))
+            .filter(each -> each.failureTracker().isUsable(nowNanos, hasStatusChecks()))
+            .toList();
+    return preferred.isEmpty()
+        ? allowed.stream().filter(each -> !each.isCold(nowNanos))
+        : preferred.stream();
+  }
+
+  // A cold target is paced for the entry instances that have it in their local subset.
+  private static boolean isInSubset(long nowNanos, PlacedTarget target, TargetSubset subset) {
+    String id = target.record().getId();
+    return target.isCold(nowNanos) ? subset.containsLocally(id) : subset.contains(id);
+  }
+
   private Optional<PlacedTarget> lowestScore(long nowNanos, Stream<PlacedTarget> candidates) {
     return candidates
         .map(each -> new Ranked(each, jitteredScore(nowNanos, each)))
@@ -288,7 +430,13 @@
   private double jitteredScore(long nowNanos, PlacedTarget target) {
     double jitter = 1 + JITTER * random.nextDouble();
     boolean local = target.record().getDataCentre().equals(context.dataCentre());
-    return score(nowNanos, target).score() * jitter * (local ? 1 : OTHER_DATA_CENTRE_FACTOR);
+    return score(nowNanos, target).score() * jitter * (local ? 1 : otherDataCentreFactor());
+  }
+
+  private double otherDataCentreFactor() {
+    return context.reportsReachAll().getAsBoolean()
+        ? OTHER_DATA_CENTRE_FACTOR
+        : CHECKED_OTHER_DATA_CENTRE_FACTOR;
   }
 
   private TargetScore score(long nowNanos, PlacedTarget target) {
@@ -320,16 +468,7 @@
 
   private void updateAverages(
       long nowNanos, DispatchRequest request, PlacedTarget target, Completion completion) {
-    completion
-        .loadReport()
-        .ifPresent(
-            report -> {
-              double slowness = report.slownessPercent() / 100.0;
-              averageSlowness += AVERAGE_WEIGHT * (Math.max(1, slowness) - averageSlowness);
-              double others =
-                  Math.max(0, report.inFlight() + report.queued() - target.inFlight() + 1);
-              averageRequestsOfOthers += AVERAGE_WEIGHT * (others - averageRequestsOfOthers);
-            });
+    completion.loadReport().ifPresent(report -> updateAverages(report, target.inFlight() - 1));
     samples.record(
         nowNanos,
         move,
@@ -346,6 +485,13 @@
     }
   }
 
+  private void updateAverages(LoadReport report, int ownRequests) {
+    double slowness = report.slownessPercent() / 100.0;
+    averageSlowness += AVERAGE_WEIGHT * (Math.max(1, slowness) - averageSlowness);
+    double others = Math.max(0, report.inFlight() + report.queued() - ownRequests);
+    averageRequestsOfOthers += AVERAGE_WEIGHT * (others - averageRequestsOfOthers);
+  }
+
   /** Returns the usual response time of the route, scaled by the current slowness of the target. */
   private double expectedNanos(long nowNanos, DispatchRequest request, PlacedTarget target) {
     double usual = usualNanos.getOrDefault(request.route(), Double.MAX_VALUE);
--- /dev/null
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/FleetPlacementTest.java
@@ -0,0 +1,114 @@
+package org.waxwingbeam.target.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.target.Dispatcher;
+import org.waxwingbeam.target.LoadReport;
+import org.waxwingbeam.wire.routing.RoutingDocument;
+import org.waxwingbeam.wire.routing.RoutingState;
+import org.waxwingbeam.wire.routing.ServiceTerms;
+
+/**
+ * Plays loads of fleets in which an entry instance receives so few requests that its own load
+ * reports are out of date, and no other entry instance sends it theirs.
+ */
+class FleetPlacementTest {
+  private static final long DURATION = TimeUnit.SECONDS.toNanos(10);
+
+  /** Requests per second and target at which all slots are in use, slow times included. */
+  private static final double CAPACITY = 3 / (0.09 * 2);
+
+  private static final double NOISE = 0.25;
+
+  private static final RoutingState STATE =
+      RoutingState.newBuilder()
+          .setRevision(1)
+          .setDocument(
+              RoutingDocument.newBuilder()
+                  .setVersion(1)
+                  .addServices(ServiceTerms.newBuilder().setName("alpha").setHealthPath("/health")))
+          .build();
+
+  private static final class NoListener implements PlacementContext.LoadListener {
+    @Override
+    public void onRequestSent(TargetId target) {}
+
+    @Override
+    public void onReport(TargetId target, LoadReport report) {}
+
+    @Override
+    public void onColdTarget(TargetId target, int coldLeftMs) {}
+  }
+
+  private static Dispatcher placement(
+      long seed, int entries, int targets, boolean checked, Consumer<ProbeRequest> probes) {
+    PlacementDispatcher dispatcher =
+        new PlacementDispatcher(
+            new PlacementContext(
+                "front-" + seed,
+                "chamonix",
+                () -> entries,
+                () -> !checked,
+                probes,
+                new SplittableRandom(seed),
+                new NoListener(),
+                60,
+                new StoppedMoves()));
+    dispatcher.configure(STATE);
+    LoadSimulation.records(targets).forEach(each -> dispatcher.update(0, each));
+    return dispatcher;
+  }
+
+  private static LoadSimulation fleet(long seed, int entries, int targets, boolean checked) {
+    return new LoadSimulation(
+            seed,
+            entries,
+            targets,
+            (entry, probes) -> placement(seed * 1_000 + entry, entries, targets, checked, probes))
+        .withoutSharedReports()
+        .withNoise(NOISE);
+  }
+
+  private static double inTimeShare(LoadSimulation.Result result) {
+    return (double) result.inTime() / result.requests();
+  }
+
+  @ParameterizedTest
+  @CsvSource({"1,0.2", "2,0.2", "1,0.5", "2,0.5", "1,0.8", "2,0.8", "1,1.2"})
+  void moreRequestsAreInTimeWithChecksOfCandidates(long seed, double load) {
+    double rate = load * CAPACITY * 90;
+
+    double blind = inTimeShare(fleet(seed, 152, 90, false).run(rate, DURATION));
+    double checked = inTimeShare(fleet(seed, 152, 90, true).run(rate, DURATION));
+
+    assertThat(1 - checked).isLessThan(0.7 * (1 - blind));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"50,30", "150,90", "300,180"})
+  void checksAndConnectionsPerEntryInstanceDoNotGrowWithTheFleet(int entries, int targets) {
+    LoadSimulation simulation = fleet(7, entries, targets, true);
+
+    LoadSimulation.Result result = simulation.run(0.3 * CAPACITY * targets, DURATION);
+
+    assertThat((double) simulation.checks() / result.requests()).isAtMost(3);
+    assertThat((double) simulation.connections() / entries).isAtMost(9);
+  }
+
+  @Test
+  void overloadDoesNotReduceTheRequestsServedInTime() {
+    double full = 0.9 * CAPACITY * 90;
+
+    int atFull = fleet(5, 152, 90, true).run(full, DURATION).inTime();
+    int overloaded = fleet(5, 152, 90, true).run(1.7 * full, DURATION).inTime();
+
+    assertThat((double) overloaded).isAtLeast(0.9 * atFull);
+  }
+}
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/LoadSimulation.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/LoadSimulation.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,7 +12,9 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongFunction;
+import java.util.stream.IntStream;
 import org.waxwingbeam.model.AccountName;
 import org.waxwingbeam.model.RouteName;
 import org.waxwingbeam.model.ServiceName;
@@ -52,6 +55,9 @@
   private long now;
   private long attempts;
   private boolean statusChecks;
+  private boolean sharedReports = true;
+  private int checks;
+  private final Set<String> connections = new HashSet<>();
   private double noisyFraction = 0.2;
   private Result result = new Result(0, 0, 0, 0);
 
@@ -64,17 +70,54 @@
     }
   }
 
+  /** Creates the dispatcher of an entry instance. */
+  interface DispatcherFactory {
+    /**
+     * Creates a dispatcher.
+     *
+     * @param entry the index of the entry instance
+     * @param probes receives the status checks that requests wait for
+     */
+    Dispatcher create(int entry, Consumer<ProbeRequest> probes);
+  }
+
   LoadSimulation(long seed, int entryCount, LongFunction<Dispatcher> factory) {
+    this(seed, entryCount, TARGETS, (entry, probes) -> factory.apply(entry));
+  }
+
+  LoadSimulation(long seed, int entryCount, int targetCount, DispatcherFactory factory) {
     random = new SplittableRandom(seed);
-    for (int i = 1; i <= TARGETS; i++) {
-      Target target = new Target(record(i));
-      targets.put(target.id, target);
-    }
+    records(targetCount)
+        .forEach(
+            each -> {
+              Target target = new Target(each);
+              targets.put(target.id, target);
+            });
     for (int i = 0; i < entryCount; i++) {
-      entries.add(new Entry(factory.apply(i)));
+      entries.add(new Entry(i, factory));
     }
   }
 
+  /** Stops the exchange of load reports between entry instances. */
+  LoadSimulation withoutSharedReports() {
+    sharedReports = false;
+    return this;
+  }
+
+  /** Returns the number of status checks that were sent. */
+  int checks() {
+    return checks;
+  }
+
+  /** Returns the number of connections that are needed if each is kept open. */
+  int connections() {
+    return connections.size();
+  }
+
+  static List<TargetRecord> records(int count) {
+    return IntStream.rangeClosed(1, count).mapToObj(LoadSimulation::record).toList();
+  }
+
   static TargetRecord record(int number) {
     return TargetRecord.newBuilder()
         .setId("t" + number)
@@ -89,9 +132,7 @@
   }
 
   static List<TargetRecord> records() {
-    return java.util.stream.IntStream.rangeClosed(1, TARGETS)
-        .mapToObj(LoadSimulation::record)
-        .toList();
+    return records(TARGETS);
   }
 
   private void schedule(long time, Runnable run) {
@@ -164,7 +205,10 @@
   }
 
   /** Applies an update at the other entry instances after the network delay. */
-  private void notifyOthers(Entry from, java.util.function.Consumer<PlacementDispatcher> update) {
+  private void notifyOthers(Entry from, Consumer<PlacementDispatcher> update) {
+    if (!sharedReports) {
+      return;
+    }
     schedule(
         now + NETWORK_DELAY,
         () ->
@@ -177,11 +221,24 @@
   }
 
   private final class Entry {
+    private final int index;
     private final Dispatcher dispatcher;
+    private final List<ProbeRequest> requestedProbes = new ArrayList<>();
     private final Map<Long, Long> arrivals = new HashMap<>();
 
-    Entry(Dispatcher dispatcher) {
-      this.dispatcher = dispatcher;
+    Entry(int index, DispatcherFactory factory) {
+      this.index = index;
+      dispatcher = factory.create(index, requestedProbes::add);
+    }
+
+    private void sendRequestedProbes() {
+      List<ProbeRequest> orders = List.copyOf(requestedProbes);
+      requestedProbes.clear();
+      orders.forEach(each -> probe((PlacementDispatcher) dispatcher, each));
+    }
+
+    private void connect(TargetId target) {
+      connections.add(index + " " + target);
     }
 
     void sendRequest() {
@@ -203,6 +260,7 @@
                       now + GOAL,
                       false,
                       Set.of()))));
+      sendRequestedProbes();
     }
 
     void probe(ProbeAssignment duty) {
@@ -213,14 +271,22 @@
 
     private void probe(PlacementDispatcher placement, ProbeRequest order) {
       Target target = targets.get(order.target());
+      checks++;
+      connect(order.target());
       schedule(
           now + NETWORK_DELAY,
           () -> {
             target.delay(PROBE_RUN_TIME_MS);
             LoadReport report = target.report();
             notifyOthers(this, each -> each.applyReport(now, target.id, report));
-            placement.completeProbe(
-                now, order, new ProbeResult.Answered(Optional.empty(), Optional.of(report), 0));
+            schedule(
+                now + NETWORK_DELAY,
+                () ->
+                    apply(
+                        placement.completeProbe(
+                            now,
+                            order,
+                            new ProbeResult.Answered(Optional.empty(), Optional.of(report), 0))));
           });
     }
 
@@ -228,8 +294,10 @@
       decisions.forEach(
           decision -> {
             switch (decision) {
-              case Decision.Assigned assigned ->
-                  targets.get(assigned.target()).accept(this, assigned.attemptId());
+              case Decision.Assigned assigned -> {
+                connect(assigned.target());
+                targets.get(assigned.target()).accept(this, assigned.attemptId());
+              }
               case Decision.Refused refused -> {
                 arrivals.remove(refused.attemptId());
                 count(0, 0, 1, 0);
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/PlacementDispatcherTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/PlacementDispatcherTest.java
@@ -38,8 +38,11 @@
     PlacementDispatcher created =
         new PlacementDispatcher(
             new PlacementContext(
+                "front-1",
                 "chamonix",
                 () -> FLEET,
+                () -> true,
+                each -> {},
                 new SplittableRandom(seed),
                 new NoOpListener(),
                 60,
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/PlacementLoadTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/PlacementLoadTest.java
@@ -87,8 +87,11 @@
     PlacementDispatcher dispatcher =
         new PlacementDispatcher(
             new PlacementContext(
+                "front-1",
                 "chamonix",
                 () -> ENTRIES,
+                () -> true,
+                each -> {},
                 new SplittableRandom(seed),
                 noOp,
                 60,
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/StatusCheckTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/StatusCheckTest.java
@@ -39,8 +39,11 @@
     dispatcher =
         new PlacementDispatcher(
             new PlacementContext(
+                "front-1",
                 "chamonix",
                 () -> 3,
+                () -> true,
+                each -> {},
                 new SplittableRandom(1),
                 new Listener(),
                 60,
