--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/TargetAttempt.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/TargetAttempt.java
@@ -72,6 +72,7 @@
   private AttemptOutcome outcome = AttemptOutcome.SUCCESS;
   private long sentNanos;
   private long headLatencyNanos;
+  private long transferredBytes;
   private boolean sending;
   private boolean discarding;
   private boolean ended;
@@ -149,7 +150,9 @@
       return;
     }
     while (nextPart < body.partCount()) {
-      connection.write(body.part(nextPart));
+      HttpContent part = body.part(nextPart);
+      transferredBytes += part.content().readableBytes();
+      connection.write(part);
       nextPart++;
     }
     connection.flush();
@@ -284,6 +287,7 @@
 
   @Override
   public void onContent(HttpContent content) {
+    transferredBytes += content.content().readableBytes();
     if (discarding) {
       content.release();
     } else {
@@ -342,6 +346,8 @@
         headLatencyNanos > 0 ? headLatencyNanos : context.clock().getAsLong() - sentNanos;
     context
         .dispatcher()
-        .complete(new Completion(request.attemptId(), target, finalOutcome, latency, loadReport));
+        .complete(
+            new Completion(
+                request.attemptId(), target, finalOutcome, latency, loadReport, transferredBytes));
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Completion.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Completion.java
@@ -12,6 +12,7 @@
  * @param headLatencyNanos time from sending the request to the head of the response, or to the
  *     failure
  * @param loadReport the load report that the response carried, if any
+ * @param transferredBytes length of the request's and the response's body, as far as transferred
  * @since 0.1.0
  */
 public record Completion(
@@ -19,4 +20,15 @@
     TargetId target,
     AttemptOutcome outcome,
     long headLatencyNanos,
-    Optional<LoadReport> loadReport) {}
+    Optional<LoadReport> loadReport,
+    long transferredBytes) {
+  /** Creates the end of an attempt that transferred no bodies. */
+  public Completion(
+      long attemptId,
+      TargetId target,
+      AttemptOutcome outcome,
+      long headLatencyNanos,
+      Optional<LoadReport> loadReport) {
+    this(attemptId, target, outcome, headLatencyNanos, loadReport, 0);
+  }
+}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
@@ -41,15 +41,6 @@
   /** Range of the random factor that keeps entry instances from choosing the same target. */
   private static final double JITTER = 0.1;
 
-  /** Factor on the score of targets in other data centres, for the longer network path. */
-  private static final double OTHER_DATA_CENTRE_FACTOR = 1.04;
-
-  /**
-   * The same in a large fleet, where targets are selected by their status at that moment: another
-   * data centre is worth its traffic only if the checked targets of this one are slow or full.
-   */
-  private static final double CHECKED_OTHER_DATA_CENTRE_FACTOR = 1.25;
-
   /** Weight of the latest response in the moving averages of the service. */
   private static final double AVERAGE_WEIGHT = 0.05;
 
@@ -63,6 +54,7 @@
   private final Map<String, PlacedTarget> targets = new HashMap<>();
   private Map<TargetId, PlacedTarget> byAddress = Map.of();
   private final MoveSamples samples = new MoveSamples();
+  private final DataCentreAffinity affinity = new DataCentreAffinity();
   private final PendingSelections pending = new PendingSelections();
   private Optional<TargetSubset> subset = Optional.empty();
   private int subsetFleetSize;
@@ -275,7 +267,7 @@
         eligible(nowNanos, request, ready, version)
             .filter(each -> !each.isCold(nowNanos))
             .filter(each -> each.failureTracker().isUsable(nowNanos, true))
-            .map(each -> new Ranked(each, jitteredScore(nowNanos, each)))
+            .map(each -> new Ranked(each, jitteredScore(nowNanos, request, each)))
             .sorted(Comparator.comparingDouble(Ranked::score))
             .limit(CHECKED_CANDIDATES)
             .map(Ranked::target)
@@ -375,9 +367,10 @@
             .filter(each -> each.failureTracker().isUsable(nowNanos, checked))
             .toList();
     // An estimate without a recent report may be better than one with it, but only by chance.
-    return lowestScore(nowNanos, usable.stream().filter(each -> isUsableAtOnce(nowNanos, each)))
+    return lowestScore(
+            nowNanos, request, usable.stream().filter(each -> isUsableAtOnce(nowNanos, each)))
         .filter(each -> subset().isPresent())
-        .or(() -> lowestScore(nowNanos, usable.stream()))
+        .or(() -> lowestScore(nowNanos, request, usable.stream()))
         .or(
             () ->
                 eligible.stream()
@@ -418,25 +411,21 @@
     return target.isCold(nowNanos) ? subset.containsLocally(id) : subset.contains(id);
   }
 
-  private Optional<PlacedTarget> lowestScore(long nowNanos, Stream<PlacedTarget> candidates) {
+  private Optional<PlacedTarget> lowestScore(
+      long nowNanos, DispatchRequest request, Stream<PlacedTarget> candidates) {
     return candidates
-        .map(each -> new Ranked(each, jitteredScore(nowNanos, each)))
+        .map(each -> new Ranked(each, jitteredScore(nowNanos, request, each)))
         .min(Comparator.comparingDouble(Ranked::score))
         .map(Ranked::target);
   }
 
   private record Ranked(PlacedTarget target, double score) {}
 
-  private double jitteredScore(long nowNanos, PlacedTarget target) {
+  private double jitteredScore(long nowNanos, DispatchRequest request, PlacedTarget target) {
     double jitter = 1 + JITTER * random.nextDouble();
     boolean local = target.record().getDataCentre().equals(context.dataCentre());
-    return score(nowNanos, target).score() * jitter * (local ? 1 : otherDataCentreFactor());
-  }
-
-  private double otherDataCentreFactor() {
-    return context.reportsReachAll().getAsBoolean()
-        ? OTHER_DATA_CENTRE_FACTOR
-        : CHECKED_OTHER_DATA_CENTRE_FACTOR;
+    double remote = affinity.factor(request.route(), subset().isPresent());
+    return score(nowNanos, target).score() * jitter * (local ? 1 : remote);
   }
 
   private TargetScore score(long nowNanos, PlacedTarget target) {
@@ -476,6 +465,7 @@
         completion,
         expectedNanos(nowNanos, request, target));
     if (completion.outcome() == AttemptOutcome.SUCCESS) {
+      affinity.record(request.route(), completion.transferredBytes());
       double slowness = target.slowness(nowNanos, averageSlowness);
       double usual = completion.headLatencyNanos() / Math.max(1, slowness);
       usualNanos.merge(
