A control replica no longer offers targets that stopped reporting to it to new entry instances

A target that reported its departure to one replica stayed ready in the memory of every replica to which it had reported before. An entry instance that started after the first had restarted got the old record, and the target that had left was in use again. A new entry instance is now told of ready targets only if they have reported within 10 s; a live target reports every few seconds to some replica. Instances that know a target keep it: silence alone ends nothing.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
@@ -320,7 +320,7 @@
 
     @Override
     public List<TargetRecord> targets() {
-      return targetDirectory.records(System.nanoTime());
+      return targetDirectory.currentRecords(System.nanoTime());
     }
 
     @Override
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/TargetDirectory.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/TargetDirectory.java
@@ -27,6 +27,12 @@
   /** Reported ends of a cold start that differ by no more than this count as equal. */
   private static final long COLD_END_TOLERANCE_NANOS = 250 * NANOS_PER_MS;
 
+  /**
+   * Age of its latest report at which a target is no longer presumed ready by who does not know it
+   * yet: several report intervals, since single reports may be seconds late.
+   */
+  private static final long READY_LIFETIME_NANOS = 10_000 * NANOS_PER_MS;
+
   /** Number of records above which the oldest record of a departed target is dropped. */
   private static final int MAX_RECORDS = 4_096;
 
@@ -140,12 +146,22 @@
   }
 
   /**
-   * Returns all records, including those of departed targets.
+   * Returns the records to tell an entry instance that has just connected: those of departed
+   * targets, and of targets that have reported recently. A target that reports to another replica
+   * may have left there, which this replica does not learn.
    *
-   * @param nowNanos the current time, for the remaining times of cold starts
+   * @param nowNanos the current time
    */
-  public List<TargetRecord> records(long nowNanos) {
-    return byId.values().stream().map(each -> asOf(nowNanos, each)).toList();
+  public List<TargetRecord> currentRecords(long nowNanos) {
+    return byId.values().stream()
+        .filter(each -> isCurrent(nowNanos, each))
+        .map(each -> asOf(nowNanos, each))
+        .toList();
+  }
+
+  private static boolean isCurrent(long nowNanos, Entry entry) {
+    return entry.record().getState() != TargetRecord.State.READY
+        || nowNanos - entry.receivedNanos() <= READY_LIFETIME_NANOS;
   }
 
   private static TargetRecord asOf(long nowNanos, Entry entry) {
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/TargetDirectoryTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/TargetDirectoryTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.waxwingbeam.target.TargetDirectory.MergeResult;
 import org.waxwingbeam.wire.feed.TargetRecord;
@@ -76,4 +77,23 @@
     assertThat(directory.merge(1_500_000_000, later)).isEqualTo(MergeResult.REFRESHED);
     assertThat(directory.find(9_000_000_000L, "a").orElseThrow().getColdLeftMs()).isEqualTo(0);
   }
+
+  @Test
+  void targetThatReportsElsewhereIsNotOfferedToNewEntryInstances() {
+    long second = 1_000_000_000;
+    directory.merge(0, record("silent", 1, 1));
+    directory.merge(0, record("reporting", 1, 1).toBuilder().setPort(81).build());
+    directory.merge(0, record("leaving", 1, 1).toBuilder().setPort(82).build());
+    directory.merge(
+        second,
+        TargetRecord.newBuilder().setId("leaving").setState(TargetRecord.State.GONE).build());
+    directory.merge(9 * second, record("reporting", 1, 2).toBuilder().setPort(81).build());
+
+    assertThat(directory.currentRecords(10 * second)).hasSize(3);
+    assertThat(
+            directory.currentRecords(11 * second).stream()
+                .collect(Collectors.toMap(TargetRecord::getId, TargetRecord::getState)))
+        .containsExactly("reporting", TargetRecord.State.READY, "leaving", TargetRecord.State.GONE);
+    assertThat(directory.find(11 * second, "silent")).isPresent();
+  }
 }
