Hedges leave a third of the retry budget to attempts that failed

Hedges now use at most two thirds of it.

SlidingWindowBudgetTest#hedgesLeaveRetriesForFailedAttempts: 17 hedges would leave 0 retries before (one method took both); now at least 5.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/RetryBudget.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/RetryBudget.java
@@ -21,9 +21,17 @@
   void onSuccess(long percent);
 
   /**
-   * Takes one retry from the budget, or returns false if none is left.
+   * Takes one retry of a failed attempt from the budget, or returns false if none is left.
    *
    * @param nowNanos the current time
    */
   boolean tryAcquire(long nowNanos);
+
+  /**
+   * Takes one hedge from the budget, or returns false if what is left is reserved for failed
+   * attempts: without a retry those fail for certain, a slow one may still succeed.
+   *
+   * @param nowNanos the current time
+   */
+  boolean tryAcquireHedge(long nowNanos);
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/SlidingWindowBudget.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/SlidingWindowBudget.java
@@ -23,12 +23,19 @@
    */
   private static final double USED_FRACTION = 0.75;
 
+  /** Fraction of the used budget that hedges may use. */
+  private static final double HEDGE_FRACTION = 2.0 / 3;
+
   private static final int SLICE_COUNT = 20;
 
   private final Limits limits;
   private final IntSupplier fleetSize;
   private final int[] requests = new int[SLICE_COUNT];
+
+  /** Retries of failed attempts, and hedges. */
   private final int[] retries = new int[SLICE_COUNT];
+
+  private final int[] hedges = new int[SLICE_COUNT];
   private long currentSlice = Long.MIN_VALUE / 2;
 
   /**
@@ -77,16 +84,31 @@
   @Override
   public synchronized boolean tryAcquire(long nowNanos) {
     advance(nowNanos);
-    double allowed =
-        USED_FRACTION
-            * (limits.ratio() * sum(requests) + limits.fixed() / Math.max(1, fleetSize.getAsInt()));
-    boolean acquired = sum(retries) + 1 <= allowed;
+    boolean acquired = sum(retries) + 1 <= allowed();
     if (acquired) {
       retries[index()]++;
     }
     return acquired;
   }
 
+  @Override
+  public synchronized boolean tryAcquireHedge(long nowNanos) {
+    advance(nowNanos);
+    boolean acquired =
+        sum(hedges) + 1 <= HEDGE_FRACTION * allowed() && sum(retries) + 1 <= allowed();
+    if (acquired) {
+      retries[index()]++;
+      hedges[index()]++;
+    }
+    return acquired;
+  }
+
+  /** Returns the number of retries and hedges that the window allows. */
+  private double allowed() {
+    return USED_FRACTION
+        * (limits.ratio() * sum(requests) + limits.fixed() / Math.max(1, fleetSize.getAsInt()));
+  }
+
   private void advance(long nowNanos) {
     long slice = nowNanos / (limits.windowNanos() / SLICE_COUNT);
     long steps = Math.min(SLICE_COUNT, slice - currentSlice);
@@ -94,6 +116,7 @@
       int at = (int) Math.floorMod(slice - steps + step, (long) SLICE_COUNT);
       requests[at] = 0;
       retries[at] = 0;
+      hedges[at] = 0;
     }
     currentSlice = Math.max(currentSlice, slice);
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/SuccessRatioBudget.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/SuccessRatioBudget.java
@@ -25,6 +25,11 @@
     balance = Math.min(balance + percent, MAX_RETRIES * RETRY_COST);
   }
 
+  @Override
+  public boolean tryAcquireHedge(long nowNanos) {
+    return tryAcquire(nowNanos);
+  }
+
   @Override
   public synchronized boolean tryAcquire(long nowNanos) {
     if (balance < RETRY_COST) {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.waxwingbeam.caller.AttemptFailure;
+import org.waxwingbeam.caller.RetryBudget;
 import org.waxwingbeam.caller.RetryPolicy;
 import org.waxwingbeam.caller.RetryReason;
 import org.waxwingbeam.caller.RoutePolicy;
@@ -489,8 +490,10 @@
   }
 
   private boolean acquireRetry(RetryReason reason) {
+    RetryBudget budget = context.budgets().of(policy.service());
+    long now = context.clock().getAsLong();
     boolean acquired =
-        context.budgets().of(policy.service()).tryAcquire(context.clock().getAsLong());
+        reason == RetryReason.HEDGE ? budget.tryAcquireHedge(now) : budget.tryAcquire(now);
     if (!acquired) {
       context.metrics().onDeniedRetry(reason);
     }
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/caller/SlidingWindowBudgetTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/caller/SlidingWindowBudgetTest.java
@@ -24,6 +24,29 @@
     assertThat(budget.tryAcquire(WINDOW + 1)).isTrue();
   }
 
+  /** Incident inc-e839: 7 to 21 hedges in 10 s left nothing for requests that had failed. */
+  @Test
+  void hedgesLeaveRetriesForFailedAttempts() {
+    SlidingWindowBudget budget = new SlidingWindowBudget(LIMITS, () -> 15);
+    for (int i = 0; i < 100; i++) {
+      budget.onRequest(i * 1_000_000L);
+    }
+    long now = 100_000_000L;
+    int hedges = 0;
+    while (budget.tryAcquireHedge(now)) {
+      hedges++;
+    }
+    int retries = 0;
+    while (budget.tryAcquire(now)) {
+      retries++;
+    }
+
+    assertThat(hedges).isAtLeast(10);
+    assertThat(retries).isAtLeast(5);
+    assertThat(hedges + retries).isAtMost(24);
+    assertThat(budget.tryAcquireHedge(now)).isFalse();
+  }
+
   @Test
   void retriesOfTheWholeFleetStayWithinTheBudgetInEveryWindow() {
     int fleet = 15;
