An entry instance wakes up for its active requests only when one may be due

The next look is now when the next limit or hedge is due, at most 100 ms away.

A decision went over all targets of the service several times; it now goes over the targets of the subset, and what depends on announcements only is kept until one changes.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -129,6 +129,7 @@
   private EntrySettings.CallerLimits callerLimits = DEFAULT_CALLER_LIMITS;
   private final ShutdownWindow shutdownWindow = new ShutdownWindow();
   private boolean checkTickScheduled;
+  private boolean reportsReachAll = true;
   private volatile boolean draining;
 
   /**
@@ -264,7 +265,12 @@
   }
 
   private boolean reportsReachAll() {
-    return loadPeers.nameAllOthers();
+    return reportsReachAll;
+  }
+
+  private void updateLoadPeers() {
+    reportsReachAll = loadPeers.nameAllOthers();
+    loadExchange.setPeers(reportsReachAll ? loadPeers.addresses() : List.of());
   }
 
   /** Sends a status check that a request waits for, after the dispatcher has queued the request. */
@@ -496,7 +502,7 @@
         case TARGET -> applyTarget(frame.getTarget());
         case LOAD_PEERS -> {
           loadPeers.put(replica, frame.getLoadPeers());
-          loadExchange.setPeers(loadPeers.addresses());
+          updateLoadPeers();
         }
         case CRASH ->
             poisonDetector.merge(System.nanoTime(), CrashRecordCodec.decode(frame.getCrash()));
@@ -512,6 +518,7 @@
     @Override
     public void onDisconnected(Endpoint replica) {
       loadPeers.remove(replica);
+      updateLoadPeers();
     }
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ActiveExchanges.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ActiveExchanges.java
@@ -3,26 +3,33 @@
 import io.netty.channel.EventLoop;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.waxwingbeam.caller.RoutePolicy;
 
 /**
- * The active exchanges of one event loop. Checks their time limits periodically; no timer runs
- * while there are no exchanges.
+ * The active exchanges of one event loop. Checks their time limits when the next one may be due; no
+ * timer runs while there are no exchanges.
  */
 // The future of a scheduled tick is not needed.
 @SuppressWarnings("FutureReturnValueIgnored")
 final class ActiveExchanges {
-  /** Interval between two checks of the time limits. */
-  private static final long TICK_MS = 5;
+  /** Longest time between two checks: limits can change without notice while a body arrives. */
+  private static final long MAX_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+  private static final long MIN_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+
+  /** Time from the arrival of a request to its first check. */
+  private static final long FIRST_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
   private final EventLoop loop;
   private final LongSupplier clock;
   // Changed on the event loop only, but also read by other threads.
   private final Set<Exchange> exchanges = new LinkedHashSet<>();
   private boolean ticking;
+  private long nextTickNanos;
 
   ActiveExchanges(EventLoop loop, LongSupplier clock) {
     this.loop = loop;
@@ -33,9 +40,9 @@
     synchronized (exchanges) {
       exchanges.add(exchange);
     }
-    if (!ticking) {
-      ticking = true;
-      loop.schedule(this::tick, TICK_MS, TimeUnit.MILLISECONDS);
+    long dueNanos = clock.getAsLong() + FIRST_TICK_NANOS;
+    if (!ticking || nextTickNanos - dueNanos > 0) {
+      scheduleTick(dueNanos, FIRST_TICK_NANOS);
     }
   }
 
@@ -45,12 +52,24 @@
     }
   }
 
-  private void tick() {
+  private void scheduleTick(long dueNanos, long delayNanos) {
+    ticking = true;
+    nextTickNanos = dueNanos;
+    loop.schedule(() -> tick(dueNanos), delayNanos, TimeUnit.NANOSECONDS);
+  }
+
+  private void tick(long dueNanos) {
+    if (!ticking || dueNanos != nextTickNanos) {
+      // Replaced by an earlier tick.
+      return;
+    }
+    ticking = false;
     long now = clock.getAsLong();
     snapshot().forEach(each -> each.onTick(now));
-    ticking = size() > 0;
-    if (ticking) {
-      loop.schedule(this::tick, TICK_MS, TimeUnit.MILLISECONDS);
+    OptionalLong next = snapshot().stream().mapToLong(each -> each.nextCheckNanos(now)).min();
+    if (next.isPresent()) {
+      long delayNanos = Math.clamp(next.getAsLong() - now, MIN_TICK_NANOS, MAX_TICK_NANOS);
+      scheduleTick(now + delayNanos, delayNanos);
     }
   }
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -41,6 +41,9 @@
 
   private static final long NANOS_PER_MS = 1_000_000;
 
+  /** Time until a hedge that was not possible is tried again. */
+  private static final long HEDGE_RETRY_NANOS = 20 * NANOS_PER_MS;
+
   private final ExchangeContext context;
   private final CallerConnection caller;
   private final EventLoop loop;
@@ -260,16 +263,34 @@
     }
   }
 
+  /** Returns when {@link #onTick} may have something to do. */
+  long nextCheckNanos(long nowNanos) {
+    long limitNanos = timeouts.nextLimitNanos();
+    if (!mayBeHedged()) {
+      return limitNanos;
+    }
+    long hedgeNanos = active.getFirst().isSending() ? hedgeTimeNanos() : nowNanos;
+    return Math.min(
+        limitNanos, hedgeNanos - nowNanos > 0 ? hedgeNanos : nowNanos + HEDGE_RETRY_NANOS);
+  }
+
+  private boolean mayBeHedged() {
+    return policy.value(Parameter.HEDGE_AFTER) > 0
+        && attempts == 1
+        && active.size() == 1
+        && RetryPolicy.mayHedge(progress());
+  }
+
+  /** Returns when a second attempt is due, if the first has been sent. */
+  private long hedgeTimeNanos() {
+    return active.getFirst().sentNanos() + policy.value(Parameter.HEDGE_AFTER) * NANOS_PER_MS;
+  }
+
   /** Sends an idempotent request to a second target if the first is slow to respond. */
   private void hedgeIfSlow(long nowNanos) {
-    long hedgeDelayNanos = policy.value(Parameter.HEDGE_AFTER) * NANOS_PER_MS;
     boolean slow =
-        hedgeDelayNanos > 0
-            && attempts == 1
-            && active.size() == 1
-            && active.getFirst().isSending()
-            && nowNanos - active.getFirst().sentNanos() >= hedgeDelayNanos;
-    if (slow && RetryPolicy.mayHedge(progress()) && acquireRetry(RetryReason.HEDGE)) {
+        mayBeHedged() && active.getFirst().isSending() && nowNanos - hedgeTimeNanos() >= 0;
+    if (slow && acquireRetry(RetryReason.HEDGE)) {
       context.metrics().onRetry(RetryReason.HEDGE);
       startAttempt();
     }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeTimeouts.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeTimeouts.java
@@ -89,6 +89,17 @@
     lastProgressNanos = nowNanos;
   }
 
+  /** Returns when the next limit is exceeded if nothing happens before. */
+  long nextLimitNanos() {
+    long stallNanos = lastProgressNanos + idleTimeoutNanos;
+    if (responseStarted) {
+      return Math.min(stallNanos, startNanos + responseTimeoutNanos) + 1;
+    }
+    return transfer && !requestComplete
+        ? Math.min(stallNanos, startNanos + totalTimeoutNanos) + 1
+        : headDeadlineNanos;
+  }
+
   /** Returns the limit that is exceeded now. */
   Violation violation(long nowNanos) {
     boolean stalled = nowNanos - lastProgressNanos > idleTimeoutNanos;
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/DataCentreAffinity.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/DataCentreAffinity.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import org.waxwingbeam.model.RouteName;
 
 /**
@@ -43,11 +44,11 @@
   /**
    * Returns the factor on the score of targets in other data centres.
    *
-   * @param checked whether candidates are checked for each request
+   * @param reportsReachAll whether targets are selected by shared reports, not checked on demand
    */
-  double factor(RouteName route, boolean checked) {
+  double factor(RouteName route, BooleanSupplier reportsReachAll) {
     double bytes = averageBytes.getOrDefault(route, 0.0);
-    return (checked ? MIN_CHECKED_FACTOR : MIN_FACTOR)
+    return (reportsReachAll.getAsBoolean() ? MIN_FACTOR : MIN_CHECKED_FACTOR)
         + LARGE_ADDITION * Math.min(1, bytes / LARGE_BYTES);
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PendingSelections.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PendingSelections.java
@@ -61,14 +61,16 @@
    * @return the requests whose target can be selected now
    */
   List<Pending> onChecked(String target, boolean idle) {
-    Optional<Pending> first =
-        idle
-            ? byAttempt.values().stream()
-                .filter(each -> each.awaited().contains(target))
-                .findFirst()
-            : Optional.empty();
+    Optional<Long> first =
+        byAttempt.values().stream()
+            .filter(each -> idle && each.awaited().contains(target))
+            .map(each -> each.request().attemptId())
+            .findFirst();
     byAttempt.values().forEach(each -> each.awaited().remove(target));
-    return take(each -> each.awaited().isEmpty() || first.filter(one -> one == each).isPresent());
+    return take(
+        each ->
+            each.awaited().isEmpty()
+                || first.filter(id -> id == each.request().attemptId()).isPresent());
   }
 
   /** Returns the requests that have waited for long enough. */
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
@@ -56,8 +56,8 @@
   private final MoveSamples samples = new MoveSamples();
   private final DataCentreAffinity affinity = new DataCentreAffinity();
   private final PendingSelections pending = new PendingSelections();
-  private Optional<TargetSubset> subset = Optional.empty();
-  private int subsetFleetSize;
+  private final SubsetCache subsetCache;
+  private Optional<List<PlacedTarget>> readyTargets = Optional.empty();
 
   /** Moving average of the response time by route, at a target of usual speed. */
   private final Map<RouteName, Double> usualNanos = new HashMap<>();
@@ -74,6 +74,7 @@
 
   ServicePlacement(PlacementContext context) {
     this.context = context;
+    subsetCache = new SubsetCache(context);
     random = context.random();
     trafficSplit = new TrafficSplit(random.nextDouble());
   }
@@ -86,11 +87,14 @@
     move =
         state.getMovesList().stream().filter(each -> each.getService().equals(service)).findFirst();
     dataCentresOut = Set.copyOf(state.getDataCentresOutList());
+    subsetCache.invalidate();
+    readyTargets = Optional.empty();
   }
 
   void update(long nowNanos, TargetRecord record) {
     store(nowNanos, record);
-    subset = Optional.empty();
+    subsetCache.invalidate();
+    readyTargets = Optional.empty();
     byAddress =
         targets.values().stream()
             .collect(Collectors.toMap(PlacedTarget::id, each -> each, (one, other) -> other));
@@ -166,9 +170,9 @@
   List<Decision> completeProbe(long nowNanos, ProbeRequest probe, ProbeResult result) {
     Optional<PlacedTarget> target =
         find(probe.target()).filter(each -> each.record().getId().equals(probe.instance()));
-    target.ifPresent(each -> completeProbe(nowNanos, each, result));
+    target.ifPresent(each -> applyProbeResult(nowNanos, each, result));
     boolean idle = target.filter(each -> isUsableAtOnce(nowNanos, each)).isPresent();
-    return decide(nowNanos, pending.onChecked(probe.instance(), idle));
+    return decideAll(nowNanos, pending.onChecked(probe.instance(), idle));
   }
 
   private boolean isUsableAtOnce(long nowNanos, PlacedTarget target) {
@@ -177,7 +181,7 @@
 
   /** Returns the decisions for requests that have waited long enough for status checks. */
   List<Decision> tick(long nowNanos) {
-    return decide(nowNanos, pending.takeDue(nowNanos));
+    return decideAll(nowNanos, pending.takeDue(nowNanos));
   }
 
   /** Removes a request that waits for status checks. */
@@ -185,13 +189,13 @@
     pending.cancel(attemptId);
   }
 
-  private List<Decision> decide(long nowNanos, List<PendingSelections.Pending> due) {
+  private List<Decision> decideAll(long nowNanos, List<PendingSelections.Pending> due) {
     return due.stream()
         .map(each -> decide(nowNanos, each.request(), ready(), each.version()))
         .toList();
   }
 
-  private void completeProbe(long nowNanos, PlacedTarget target, ProbeResult result) {
+  private void applyProbeResult(long nowNanos, PlacedTarget target, ProbeResult result) {
     target.completeProbe(
         nowNanos, result, terms.getColdStartMs() * NANOS_PER_MS, coldIntervalNanos());
     if (result instanceof ProbeResult.Answered responded) {
@@ -208,32 +212,14 @@
   }
 
   private long coldIntervalNanos() {
-    int senders = subset().map(TargetSubset::maxLocalSenders).orElse(fleetSize());
+    int senders =
+        subset().map(TargetSubset::maxLocalSenders).orElse(context.fleetSize().getAsInt());
     return ColdTargetPacer.intervalNanos(terms.getColdPerSecond(), senders);
   }
 
-  private int fleetSize() {
-    return context.fleetSize().getAsInt();
-  }
-
   /** Returns the targets that this entry instance uses, or empty if it uses all of them. */
   private Optional<TargetSubset> subset() {
-    if (context.reportsReachAll().getAsBoolean()) {
-      return Optional.empty();
-    }
-    if (subset.isEmpty() || subsetFleetSize != fleetSize()) {
-      subsetFleetSize = fleetSize();
-      List<TargetSubset.Member> members =
-          targets.values().stream()
-              .map(PlacedTarget::record)
-              .filter(each -> each.getState() == TargetRecord.State.READY)
-              .map(each -> new TargetSubset.Member(each.getId(), each.getDataCentre()))
-              .toList();
-      subset =
-          Optional.of(
-              TargetSubset.of(members, context.instance(), context.dataCentre(), subsetFleetSize));
-    }
-    return subset;
+    return subsetCache.current(targets.values());
   }
 
   /**
@@ -277,11 +263,17 @@
         : candidates.stream().filter(each -> !each.hasFreshReport(nowNanos)).toList();
   }
 
+  /** Returns the targets that are announced as ready; the list changes only with announcements. */
   private List<PlacedTarget> ready() {
-    return targets.values().stream()
-        .filter(PlacedTarget::isReady)
-        .filter(each -> !dataCentresOut.contains(each.record().getDataCentre()))
-        .toList();
+    if (readyTargets.isEmpty()) {
+      readyTargets =
+          Optional.of(
+              targets.values().stream()
+                  .filter(PlacedTarget::isReady)
+                  .filter(each -> !dataCentresOut.contains(each.record().getDataCentre()))
+                  .toList());
+    }
+    return readyTargets.get();
   }
 
   private Decision decide(
@@ -385,23 +377,24 @@
    */
   private Stream<PlacedTarget> eligible(
       long nowNanos, DispatchRequest request, List<PlacedTarget> ready, Predicate<String> version) {
-    List<PlacedTarget> allowed =
-        ready.stream()
-            .filter(each -> version.test(each.record().getVersion()))
-            .filter(each -> !request.excluded().contains(each.id()))
-            .filter(each -> each.allowsRequest(nowNanos))
-            .toList();
+    Predicate<PlacedTarget> allowed =
+        each ->
+            each.isReady()
+                && version.test(each.record().getVersion())
+                && !request.excluded().contains(each.id())
+                && each.allowsRequest(nowNanos);
     Optional<TargetSubset> own = subset();
     if (own.isEmpty()) {
-      return allowed.stream();
+      return ready.stream().filter(allowed);
     }
     List<PlacedTarget> preferred =
-        allowed.stream()
+        subsetCache.members(ready).stream()
+            .filter(allowed)
             .filter(each -> isInSubset(nowNanos, each, own.get()))
             .filter(each -> each.failureTracker().isUsable(nowNanos, hasStatusChecks()))
             .toList();
     return preferred.isEmpty()
-        ? allowed.stream().filter(each -> !each.isCold(nowNanos))
+        ? ready.stream().filter(allowed).filter(each -> !each.isCold(nowNanos))
         : preferred.stream();
   }
 
@@ -424,7 +417,7 @@
   private double jitteredScore(long nowNanos, DispatchRequest request, PlacedTarget target) {
     double jitter = 1 + JITTER * random.nextDouble();
     boolean local = target.record().getDataCentre().equals(context.dataCentre());
-    double remote = affinity.factor(request.route(), subset().isPresent());
+    double remote = affinity.factor(request.route(), context.reportsReachAll());
     return score(nowNanos, target).score() * jitter * (local ? 1 : remote);
   }
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/TrafficSplit.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/TrafficSplit.java
@@ -1,6 +1,7 @@
 package org.waxwingbeam.target.placement;
 
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
@@ -19,6 +20,8 @@
   private static final double PER_MILLE = 1_000;
 
   private double position;
+  private List<PlacedTarget> countedTargets = List.of();
+  private String prevalent = "";
 
   /**
    * Creates a traffic split.
@@ -33,13 +36,16 @@
    * Returns a predicate for the versions that may serve the next request.
    *
    * @param move the latest move of the service
-   * @param targets all targets of the service that accept requests
+   * @param targets all targets of the service that accept requests, in an immutable list
    * @param stopped whether this entry instance has stopped the move on its own
    */
   Predicate<String> nextVersions(
-      Optional<ServiceMove> move, Collection<PlacedTarget> targets, boolean stopped) {
+      Optional<ServiceMove> move, List<PlacedTarget> targets, boolean stopped) {
     if (move.isEmpty()) {
-      String prevalent = prevalentVersion(targets);
+      if (targets != countedTargets) {
+        countedTargets = targets;
+        prevalent = prevalentVersion(targets);
+      }
       return prevalent::equals;
     }
     String to = move.get().getTo();
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/LoadSimulation.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/LoadSimulation.java
@@ -114,10 +114,6 @@
     return connections.size();
   }
 
-  static List<TargetRecord> records(int count) {
-    return IntStream.rangeClosed(1, count).mapToObj(LoadSimulation::record).toList();
-  }
-
   static TargetRecord record(int number) {
     return TargetRecord.newBuilder()
         .setId("t" + number)
@@ -131,6 +127,10 @@
         .build();
   }
 
+  static List<TargetRecord> records(int count) {
+    return IntStream.rangeClosed(1, count).mapToObj(LoadSimulation::record).toList();
+  }
+
   static List<TargetRecord> records() {
     return records(TARGETS);
   }
