Evidence on a version move is cumulative, so that a replica that restarted knows all of it

Entry instances sent the counts since their last report.

Reports now hold the counts since the entry instance has known the move, and are repeated every second; the controller keeps the latest of each, and those of processes that have ended. MoveControllerTest: three new cases, written with the change.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/MoveRunner.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/MoveRunner.java
@@ -38,16 +38,16 @@
   }
 
   /**
-   * Records the samples that an entry instance has sent on a move. Followers record them too, so
+   * Applies the samples that an entry instance has sent on a move. Followers record them too, so
    * that a new leader knows the samples from before its election.
    */
-  void addSamples(VersionEvidence samples) {
+  void applySamples(String entry, VersionEvidence samples) {
     long now = System.nanoTime();
     routing
         .move(samples.getService())
         .filter(each -> each.getState() == ServiceMove.State.RUNNING)
         .filter(each -> each.getNumber() == samples.getMove())
-        .ifPresent(each -> controllerFor(now, each).addSamples(now, samples));
+        .ifPresent(each -> controllerFor(now, each).applySamples(now, entry, samples));
   }
 
   /**
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
@@ -244,7 +244,7 @@
   private void receiveFrame(String entry, EntryFrame frame) {
     switch (frame.getKindCase()) {
       case CRASH -> feed.relay(entry, ControlFrame.newBuilder().setCrash(frame.getCrash()).build());
-      case EVIDENCE -> moveRunner.addSamples(frame.getEvidence());
+      case EVIDENCE -> moveRunner.applySamples(entry, frame.getEvidence());
       default -> {}
     }
   }
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -244,7 +244,7 @@
     long now = System.nanoTime();
     feed.tick(now);
     dispatcher
-        .drainSamples(now)
+        .reportSamples(now)
         .forEach(each -> feed.sendToAll(EntryFrame.newBuilder().setEvidence(each).build()));
     poisonDetector
         .drainChanges(now)
--- a/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/routed/MoveRunnerTest.java
+++ b/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/routed/MoveRunnerTest.java
@@ -41,7 +41,7 @@
   @Test
   void newLeaderUsesSamplesFromBeforeItsElection() {
     orderMove();
-    runner.addSamples(samples(11_500, 40));
+    runner.applySamples("front-1", samples(11_500, 40));
     long now = System.nanoTime();
 
     runner.tick(now, new LeaderTerm(now, now));
@@ -57,7 +57,7 @@
     LeaderTerm term = new LeaderTerm(lost + SECOND, lost);
     orderMove();
     runner.tick(lost + 3 * SECOND / 2, term);
-    runner.addSamples(samples(0, 40));
+    runner.applySamples("front-1", samples(0, 40));
 
     runner.tick(lost + 10 * SECOND, term);
     assertThat(proposed).doesNotContain(ServiceMove.State.DONE);
@@ -73,7 +73,7 @@
     LeaderTerm term = new LeaderTerm(lost + SECOND, lost);
     orderMove();
     runner.tick(lost + 5 * SECOND, term);
-    runner.addSamples(samples(0, 40));
+    runner.applySamples("front-1", samples(0, 40));
 
     runner.tick(lost + 15 * SECOND, term);
     assertThat(proposed).doesNotContain(ServiceMove.State.DONE);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/MoveController.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/MoveController.java
@@ -1,7 +1,13 @@
 package org.waxwingbeam.target.placement;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ToLongFunction;
+import java.util.stream.Stream;
 import org.waxwingbeam.wire.feed.VersionCounts;
 import org.waxwingbeam.wire.feed.VersionEvidence;
 import org.waxwingbeam.wire.routing.ServiceMove;
@@ -59,6 +65,8 @@
   private long startNanos;
   private final long durationNanos;
   private long nextProposalNanos;
+  private final Map<String, VersionEvidence> byEntry = new HashMap<>();
+  private final List<VersionEvidence> endedProcesses = new ArrayList<>();
   private long oldResponses;
   private long oldBad;
   private long newResponses;
@@ -83,18 +91,40 @@
   }
 
   /**
-   * Adds the counts of an entry instance. An entry instance may have known the move for longer than
-   * this replica has been the leader, so the start of the move is corrected by the reported age.
+   * Applies the counts of an entry instance since it has known the move; earlier ones of the same
+   * process are included in them. So a replica that has restarted, or was not connected, soon knows
+   * as much as the others. An entry instance may have known the move for longer than this replica
+   * has been the leader, so the start of the move is corrected by the reported age.
    *
    * @param nowNanos the current time
-   * @param counts the counts of both versions since the last report
+   * @param entry the name of the entry instance
+   * @param counts its counts of both versions
    */
-  public void addSamples(long nowNanos, VersionEvidence counts) {
+  public void applySamples(long nowNanos, String entry, VersionEvidence counts) {
     startNanos = Math.min(startNanos, nowNanos - counts.getAgeMs() * NANOS_PER_MS);
-    oldResponses += counts.getBefore().getAnswers();
-    oldBad += badResponses(counts.getBefore());
-    newResponses += counts.getAfter().getAnswers();
-    newBad += badResponses(counts.getAfter());
+    VersionEvidence known = byEntry.getOrDefault(entry, VersionEvidence.getDefaultInstance());
+    if (isOfEarlierProcess(known, counts)) {
+      endedProcesses.add(known);
+    }
+    byEntry.put(entry, counts);
+  }
+
+  /** Returns whether the known counts are those of a process that has been replaced. */
+  private static boolean isOfEarlierProcess(VersionEvidence known, VersionEvidence counts) {
+    return counts.getAgeMs() < known.getAgeMs()
+        && (counts.getBefore().getAnswers() < known.getBefore().getAnswers()
+            || counts.getAfter().getAnswers() < known.getAfter().getAnswers());
+  }
+
+  private void sumUp() {
+    oldResponses = sum(each -> each.getBefore().getAnswers());
+    oldBad = sum(each -> badResponses(each.getBefore()));
+    newResponses = sum(each -> each.getAfter().getAnswers());
+    newBad = sum(each -> badResponses(each.getAfter()));
+  }
+
+  private long sum(ToLongFunction<VersionEvidence> count) {
+    return Stream.concat(byEntry.values().stream(), endedProcesses.stream()).mapToLong(count).sum();
   }
 
   private static long badResponses(VersionCounts counts) {
@@ -117,6 +147,7 @@
   }
 
   private Optional<ServiceMove> decide(long nowNanos, ServiceMove move) {
+    sumUp();
     if (isNewVersionBad()) {
       return Optional.of(
           move.toBuilder().setState(ServiceMove.State.ROLLED_BACK).setSharePerMille(0).build());
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/MoveSamples.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/MoveSamples.java
@@ -8,8 +8,8 @@
 import org.waxwingbeam.wire.routing.ServiceMove;
 
 /**
- * Counts the responses of both versions of a move, for the report to the leader of the control
- * replicas.
+ * Counts the responses of both versions of a move, for the report to the control replicas. Reports
+ * hold the counts since the move became known, so that none is missed for good.
  */
 final class MoveSamples {
   /** A response counts as slow if it takes more than this multiple of the expected time. */
@@ -20,10 +20,15 @@
 
   private static final long NANOS_PER_MS = 1_000_000;
 
+  /** Longest time between two reports while a move is running. */
+  private static final long REPORT_INTERVAL_NANOS = 1_000 * NANOS_PER_MS;
+
   private VersionCounts.Builder oldVersion = VersionCounts.newBuilder();
   private VersionCounts.Builder newVersion = VersionCounts.newBuilder();
   private long moveNumber;
   private long knownSinceNanos;
+  private long reportedAnswers;
+  private long reportedNanos;
 
   /**
    * Counts the end of an attempt. Does nothing if no move of the service is running.
@@ -46,6 +51,7 @@
     if (moveNumber != move.get().getNumber()) {
       moveNumber = move.get().getNumber();
       knownSinceNanos = nowNanos;
+      reportedAnswers = 0;
       oldVersion = VersionCounts.newBuilder();
       newVersion = VersionCounts.newBuilder();
     }
@@ -77,21 +83,29 @@
     }
   }
 
-  /** Returns the counts since the last call, or empty if nothing was counted. */
-  Optional<VersionEvidence> drain(long nowNanos, Optional<ServiceMove> move) {
-    if (move.isEmpty() || oldVersion.getAnswers() + newVersion.getAnswers() == 0) {
+  /**
+   * Returns the counts of the running move if they have changed since the last call, or if it was a
+   * while ago: a replica may have restarted since.
+   */
+  Optional<VersionEvidence> report(long nowNanos, Optional<ServiceMove> move) {
+    long answers = oldVersion.getAnswers() + newVersion.getAnswers();
+    boolean known =
+        move.filter(each -> each.getState() == ServiceMove.State.RUNNING)
+            .filter(each -> each.getNumber() == moveNumber)
+            .isPresent();
+    boolean due = answers != reportedAnswers || nowNanos - reportedNanos >= REPORT_INTERVAL_NANOS;
+    if (!known || answers == 0 || !due) {
       return Optional.empty();
     }
-    VersionEvidence drained =
+    reportedAnswers = answers;
+    reportedNanos = nowNanos;
+    return Optional.of(
         VersionEvidence.newBuilder()
             .setService(move.get().getService())
             .setMove(moveNumber)
             .setBefore(oldVersion)
             .setAfter(newVersion)
             .setAgeMs((nowNanos - knownSinceNanos) / NANOS_PER_MS)
-            .build();
-    oldVersion = VersionCounts.newBuilder();
-    newVersion = VersionCounts.newBuilder();
-    return Optional.of(drained);
+            .build());
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementDispatcher.java
@@ -179,13 +179,13 @@
   }
 
   /**
-   * Returns the counts of the running version moves since the last call.
+   * Returns the counts of the running version moves for which a report is due.
    *
    * @param nowNanos the current time
    */
-  public List<VersionEvidence> drainSamples(long nowNanos) {
+  public List<VersionEvidence> reportSamples(long nowNanos) {
     return services.values().stream()
-        .map(each -> each.drainSamples(nowNanos))
+        .map(each -> each.reportSamples(nowNanos))
         .flatMap(Optional::stream)
         .toList();
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
@@ -481,9 +481,9 @@
     return usual * target.slowness(nowNanos, averageSlowness);
   }
 
-  /** Returns the counts of the running move since the last call, or empty if there are none. */
-  Optional<VersionEvidence> drainSamples(long nowNanos) {
-    return samples.drain(nowNanos, move);
+  /** Returns the counts of the running move, or empty if no report is due. */
+  Optional<VersionEvidence> reportSamples(long nowNanos) {
+    return samples.report(nowNanos, move);
   }
 
   /** Returns the number of targets that accept requests. */
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/caller/net/ExchangeTimeoutsTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/caller/net/ExchangeTimeoutsTest.java
@@ -45,6 +45,18 @@
         .isEqualTo(ExchangeTimeouts.Violation.ANSWER_TOO_LONG);
   }
 
+  @Test
+  void nextLimitIsExceededWhenItIsSaidToBe() {
+    for (boolean transfer : new boolean[] {false, true}) {
+      ExchangeTimeouts timeouts = timeoutsOfDrippingResponse(transfer, 300);
+
+      assertThat(timeouts.violation(timeouts.nextLimitNanos() - 1))
+          .isEqualTo(ExchangeTimeouts.Violation.NONE);
+      assertThat(timeouts.violation(timeouts.nextLimitNanos()))
+          .isNotEqualTo(ExchangeTimeouts.Violation.NONE);
+    }
+  }
+
   private static ExchangeTimeouts timeoutsOfDrippingResponse(boolean transfer, long progressMs) {
     Parameters parameters =
         Parameters.NONE
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/MoveControllerTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/MoveControllerTest.java
@@ -24,8 +24,9 @@
   private final MoveController controller = new MoveController(0, MOVE);
 
   private void addSamples(int before, int badBefore, int after, int badAfter) {
-    controller.addSamples(
+    controller.applySamples(
         SECOND,
+        "front-1",
         VersionEvidence.newBuilder()
             .setService("alpha")
             .setMove(1)
@@ -46,8 +47,9 @@
   @Test
   void newLeaderLearnsTheAgeOfTheMoveFromEntryInstances() {
     MoveController ofNewLeader = new MoveController(20 * SECOND, MOVE);
-    ofNewLeader.addSamples(
+    ofNewLeader.applySamples(
         21 * SECOND,
+        "front-1",
         VersionEvidence.newBuilder()
             .setMove(1)
             .setAfter(VersionCounts.newBuilder().setAnswers(9))
@@ -97,4 +99,43 @@
     ServiceMove back = controller.next(11 * SECOND, MOVE).orElseThrow();
     assertThat(back.getState()).isEqualTo(ServiceMove.State.ROLLED_BACK);
   }
+
+  private static VersionEvidence counts(long ageMs, int before, int after, int badAfter) {
+    return VersionEvidence.newBuilder()
+        .setMove(1)
+        .setBefore(VersionCounts.newBuilder().setAnswers(before))
+        .setAfter(VersionCounts.newBuilder().setAnswers(after).setFailures(badAfter))
+        .setAgeMs(ageMs)
+        .build();
+  }
+
+  /** Finding of australes-gw trouble-3: a replica lost its disk, led, and completed a bad move. */
+  @Test
+  void replicaThatHasRestartedLearnsAllCountsFromTheNextReports() {
+    controller.applySamples(SECOND, "front-1", counts(1_000, 100, 10, 5));
+    MoveController restarted = new MoveController(2 * SECOND, MOVE);
+
+    restarted.applySamples(2 * SECOND, "front-1", counts(2_000, 180, 12, 6));
+
+    assertThat(restarted.next(3 * SECOND, MOVE).orElseThrow().getState())
+        .isEqualTo(ServiceMove.State.ROLLED_BACK);
+  }
+
+  @Test
+  void repeatedReportsAreNotCountedTwice() {
+    for (int i = 0; i < 10; i++) {
+      controller.applySamples(i * SECOND, "front-1", counts(i * 1_000, 100, 12, 2));
+    }
+
+    assertThat(controller.next(9 * SECOND, MOVE)).isEmpty();
+  }
+
+  @Test
+  void countsOfAnEntryInstanceThatHasRestartedAreKept() {
+    controller.applySamples(SECOND, "front-1", counts(1_000, 100, 8, 4));
+    controller.applySamples(2 * SECOND, "front-1", counts(100, 3, 4, 2));
+
+    assertThat(controller.next(2 * SECOND, MOVE).orElseThrow().getState())
+        .isEqualTo(ServiceMove.State.ROLLED_BACK);
+  }
 }
