--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacedTarget.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacedTarget.java
@@ -14,6 +14,9 @@
   /** Queue length that is assumed for a target that has refused a request as overloaded. */
   private static final int ASSUMED_QUEUE = 4;
 
+  /** Time for which targets usually keep idle connections open, at least. */
+  private static final long CONTACT_LIFETIME_NANOS = 8_000 * NANOS_PER_MS;
+
   /** Reported slowness up to which a target runs at about its usual speed. */
   private static final double IDLE_SLOWNESS = 1.3;
 
@@ -137,6 +140,11 @@
     return load.reportAgeNanos(nowNanos).filter(ProbeSchedule::isFresh).isPresent();
   }
 
+  /** Returns whether a connection that has carried the latest load report is probably open. */
+  boolean isInContact(long nowNanos) {
+    return load.reportAgeNanos(nowNanos).filter(age -> age < CONTACT_LIFETIME_NANOS).isPresent();
+  }
+
   /** Returns whether the response to a status check is outstanding. */
   boolean isProbeInFlight() {
     return probes.isInFlight();
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
@@ -38,6 +38,12 @@
    */
   private static final int CHECKED_CANDIDATES = 3;
 
+  /**
+   * Factor on the score of candidates with which a connection is probably open. It outweighs the
+   * jitter, so that a new connection is opened only if those are worse than average.
+   */
+  private static final double IN_CONTACT_FACTOR = 0.9;
+
   /** Range of the random factor that keeps entry instances from choosing the same target. */
   private static final double JITTER = 0.1;
 
@@ -253,7 +259,7 @@
         eligible(nowNanos, request, ready, version)
             .filter(each -> !each.isCold(nowNanos))
             .filter(each -> each.failureTracker().isUsable(nowNanos, true))
-            .map(each -> new Ranked(each, jitteredScore(nowNanos, request, each)))
+            .map(each -> new Ranked(each, checkScore(nowNanos, request, each)))
             .sorted(Comparator.comparingDouble(Ranked::score))
             .limit(CHECKED_CANDIDATES)
             .map(Ranked::target)
@@ -263,6 +269,11 @@
         : candidates.stream().filter(each -> !each.hasFreshReport(nowNanos)).toList();
   }
 
+  private double checkScore(long nowNanos, DispatchRequest request, PlacedTarget target) {
+    double score = jitteredScore(nowNanos, request, target);
+    return target.isInContact(nowNanos) ? score * IN_CONTACT_FACTOR : score;
+  }
+
   /** Returns the targets that are announced as ready; the list changes only with announcements. */
   private List<PlacedTarget> ready() {
     if (readyTargets.isEmpty()) {
