--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
@@ -11,7 +11,6 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.waxwingbeam.model.ErrorKind;
-import org.waxwingbeam.model.RouteName;
 import org.waxwingbeam.model.TargetId;
 import org.waxwingbeam.target.AttemptOutcome;
 import org.waxwingbeam.target.Completion;
@@ -44,12 +43,12 @@
    */
   private static final double IN_CONTACT_FACTOR = 0.9;
 
+  /** Occupancy of the slots up to which a few targets in contact suffice; above, all are used. */
+  private static final double LIGHT_OCCUPANCY = 0.3;
+
   /** Range of the random factor that keeps entry instances from choosing the same target. */
   private static final double JITTER = 0.1;
 
-  /** Weight of the latest response in the moving averages of the service. */
-  private static final double AVERAGE_WEIGHT = 0.05;
-
   private static final long NANOS_PER_MS = 1_000_000;
   private static final long DEFAULT_COLD_MS = 3_000;
   private static final double DEFAULT_COLD_PER_SECOND = 4;
@@ -60,14 +59,12 @@
   private final Map<String, PlacedTarget> targets = new HashMap<>();
   private Map<TargetId, PlacedTarget> byAddress = Map.of();
   private final MoveSamples samples = new MoveSamples();
+  private final ServiceAverages averages = new ServiceAverages();
   private final DataCentreAffinity affinity = new DataCentreAffinity();
   private final PendingSelections pending = new PendingSelections();
   private final SubsetCache subsetCache;
   private Optional<List<PlacedTarget>> readyTargets = Optional.empty();
 
-  /** Moving average of the response time by route, at a target of usual speed. */
-  private final Map<RouteName, Double> usualNanos = new HashMap<>();
-
   private ServiceTerms terms =
       ServiceTerms.newBuilder()
           .setColdStartMs((int) DEFAULT_COLD_MS)
@@ -75,8 +72,6 @@
           .build();
   private Optional<ServiceMove> move = Optional.empty();
   private Set<String> dataCentresOut = Set.of();
-  private double averageSlowness = 1;
-  private double averageRequestsOfOthers;
 
   ServicePlacement(PlacementContext context) {
     this.context = context;
@@ -206,7 +201,7 @@
         nowNanos, result, terms.getColdStartMs() * NANOS_PER_MS, coldIntervalNanos());
     if (result instanceof ProbeResult.Answered responded) {
       responded.load().ifPresent(each -> context.loadListener().onReport(target.id(), each));
-      responded.load().ifPresent(each -> updateAverages(each, target.inFlight()));
+      responded.load().ifPresent(each -> averages.recordReport(each, target.inFlight()));
       if (responded.coldLeftMs() > 0) {
         context.loadListener().onColdTarget(target.id(), responded.coldLeftMs());
       }
@@ -271,7 +266,8 @@
 
   private double checkScore(long nowNanos, DispatchRequest request, PlacedTarget target) {
     double score = jitteredScore(nowNanos, request, target);
-    return target.isInContact(nowNanos) ? score * IN_CONTACT_FACTOR : score;
+    boolean light = averages.requestsOfOthers() < LIGHT_OCCUPANCY * target.slots();
+    return light && target.isInContact(nowNanos) ? score * IN_CONTACT_FACTOR : score;
   }
 
   /** Returns the targets that are announced as ready; the list changes only with announcements. */
@@ -302,7 +298,7 @@
   private boolean isAdmitted(long nowNanos, DispatchRequest request, PlacedTarget target) {
     Admission.Candidate candidate =
         new Admission.Candidate(
-            target.outstanding(nowNanos, averageRequestsOfOthers),
+            target.outstanding(nowNanos, averages.requestsOfOthers()),
             target.slots(),
             predictedNanos(nowNanos, request, target));
     return Admission.admits(
@@ -333,8 +329,8 @@
     PlacedTarget target = selected.target();
     Decision.SelectionBasis basis =
         new Decision.SelectionBasis(
-            target.outstanding(nowNanos, averageRequestsOfOthers),
-            target.slowness(nowNanos, averageSlowness),
+            target.outstanding(nowNanos, averages.requestsOfOthers()),
+            target.slowness(nowNanos, averages.slowness()),
             target.reportAgeMs(nowNanos),
             selected.candidates());
     target.startRequest(nowNanos, coldIntervalNanos());
@@ -434,14 +430,14 @@
 
   private TargetScore score(long nowNanos, PlacedTarget target) {
     return new TargetScore(
-        target.outstanding(nowNanos, averageRequestsOfOthers),
+        target.outstanding(nowNanos, averages.requestsOfOthers()),
         target.slots(),
-        target.slowness(nowNanos, averageSlowness),
+        target.slowness(nowNanos, averages.slowness()),
         target.failureTracker().failureShare());
   }
 
   private double predictedNanos(long nowNanos, DispatchRequest request, PlacedTarget target) {
-    double usual = usualNanos.getOrDefault(request.route(), 0.0);
+    double usual = averages.usualNanos(request.route()).orElse(0.0);
     return usual * score(nowNanos, target).predictedTime();
   }
 
@@ -450,7 +446,7 @@
     find(completion.target())
         .ifPresent(
             target -> {
-              updateAverages(nowNanos, request, target, completion);
+              recordCompletion(nowNanos, request, target, completion);
               completion
                   .loadReport()
                   .ifPresent(report -> context.loadListener().onReport(target.id(), report));
@@ -459,9 +455,11 @@
             });
   }
 
-  private void updateAverages(
+  private void recordCompletion(
       long nowNanos, DispatchRequest request, PlacedTarget target, Completion completion) {
-    completion.loadReport().ifPresent(report -> updateAverages(report, target.inFlight() - 1));
+    completion
+        .loadReport()
+        .ifPresent(report -> averages.recordReport(report, target.inFlight() - 1));
     samples.record(
         nowNanos,
         move,
@@ -470,26 +468,17 @@
         expectedNanos(nowNanos, request, target));
     if (completion.outcome() == AttemptOutcome.SUCCESS) {
       affinity.record(request.route(), completion.transferredBytes());
-      double slowness = target.slowness(nowNanos, averageSlowness);
-      double usual = completion.headLatencyNanos() / Math.max(1, slowness);
-      usualNanos.merge(
+      averages.recordResponse(
           request.route(),
-          usual,
-          (average, latest) -> average + AVERAGE_WEIGHT * (latest - average));
+          completion.headLatencyNanos(),
+          target.slowness(nowNanos, averages.slowness()));
     }
   }
 
-  private void updateAverages(LoadReport report, int ownRequests) {
-    double slowness = report.slownessPercent() / 100.0;
-    averageSlowness += AVERAGE_WEIGHT * (Math.max(1, slowness) - averageSlowness);
-    double others = Math.max(0, report.inFlight() + report.queued() - ownRequests);
-    averageRequestsOfOthers += AVERAGE_WEIGHT * (others - averageRequestsOfOthers);
-  }
-
   /** Returns the usual response time of the route, scaled by the current slowness of the target. */
   private double expectedNanos(long nowNanos, DispatchRequest request, PlacedTarget target) {
-    double usual = usualNanos.getOrDefault(request.route(), Double.MAX_VALUE);
-    return usual * target.slowness(nowNanos, averageSlowness);
+    double usual = averages.usualNanos(request.route()).orElse(Double.MAX_VALUE);
+    return usual * target.slowness(nowNanos, averages.slowness());
   }
 
   /** Returns the counts of the running move, or empty if no report is due. */
