Each request that waits for status checks is decided when it is due

One timer was set for the first of several waiting requests, so a later one whose candidates did not respond waited for the end of their checks, up to 250 ms. A queued decision now says when it must be looked at again, and SharedDispatcher sets a timer for each. Tests of both sides, written with the change.

A product in MoveControllerTest is computed as a long: the linter refuses the other in a fresh clone.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -72,9 +72,6 @@
   /** The same if targets are checked only for requests, and otherwise to end their pause. */
   private static final long SLOW_PROBE_TICK_MS = 100;
 
-  /** Time after the first status check for a request at which overdue ones are given up. */
-  private static final long CHECK_TICK_MS = 21;
-
   private static final int CONNECT_TIMEOUT_MS = 300;
 
   /** Number of entry instances that is assumed until a control replica reports it. */
@@ -128,7 +125,6 @@
   private RouteTable routeTable = new RouteTable();
   private EntrySettings.CallerLimits callerLimits = DEFAULT_CALLER_LIMITS;
   private final ShutdownWindow shutdownWindow = new ShutdownWindow();
-  private boolean checkTickScheduled;
   private boolean reportsReachAll = true;
   private volatile boolean draining;
 
@@ -276,15 +272,6 @@
   /** Sends a status check that a request waits for, after the dispatcher has queued the request. */
   private void sendProbeSoon(ProbeRequest probe) {
     group.next().execute(() -> sendProbe(probe));
-    if (!checkTickScheduled) {
-      checkTickScheduled = true;
-      group.next().schedule(this::tickDispatcher, CHECK_TICK_MS, TimeUnit.MILLISECONDS);
-    }
-  }
-
-  private void tickDispatcher() {
-    checkTickScheduled = false;
-    sharedDispatcher.tick();
   }
 
   private void sendProbe(ProbeRequest probe) {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/SharedDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/SharedDispatcher.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.waxwingbeam.target.AttemptOutcome;
@@ -19,6 +20,8 @@
  *
  * @since 0.1.0
  */
+// Nothing needs the future of a scheduled tick.
+@SuppressWarnings("FutureReturnValueIgnored")
 public final class SharedDispatcher {
   private final Dispatcher dispatcher;
   private final LongSupplier clock;
@@ -48,7 +51,11 @@
     // Registered first: another event loop may make the final decision before this call returns.
     waiting.put(request.attemptId(), new Waiter(executor, receiver));
     Decision decision = dispatcher.request(clock.getAsLong(), request);
-    if (!(decision instanceof Decision.Queued)) {
+    if (decision instanceof Decision.Queued queued) {
+      queued
+          .tickAfterNanos()
+          .ifPresent(after -> executor.schedule(this::tick, after, TimeUnit.NANOSECONDS));
+    } else {
       waiting.remove(request.attemptId());
     }
     return decision;
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Decision.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Decision.java
@@ -57,8 +57,15 @@
    * Queues the attempt. A later call to the dispatcher returns its final decision.
    *
    * @param attemptId the attempt
+   * @param tickAfterNanos time after which {@link Dispatcher#tick} must be called for this attempt,
+   *     if it is not called periodically
    */
-  record Queued(long attemptId) implements Decision {}
+  record Queued(long attemptId, Optional<Long> tickAfterNanos) implements Decision {
+    /** Queues an attempt for which no call is needed. */
+    public Queued(long attemptId) {
+      this(attemptId, Optional.empty());
+    }
+  }
 
   /**
    * Refuses the attempt, which then counts against no limit.
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PendingSelections.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PendingSelections.java
@@ -21,7 +21,7 @@
    * Longest wait for the candidates. A status check takes a few milliseconds; a candidate that
    * takes longer is not the fastest.
    */
-  private static final long MAX_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+  static final long MAX_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
   private final Map<Long, Pending> byAttempt = new LinkedHashMap<>();
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
@@ -244,10 +244,13 @@
         .filter(each -> !each.isProbeInFlight())
         .map(each -> startProbe(nowNanos, each))
         .forEach(context.probeSender());
-    return new Decision.Queued(request.attemptId());
+    return new Decision.Queued(request.attemptId(), Optional.of(PendingSelections.MAX_WAIT_NANOS));
   }
 
-  /** Returns the best targets, or none if the best one needs no status check. */
+  /**
+   * Returns the best targets without a fresh report, or none if one of the best is known to be
+   * idle.
+   */
   private List<PlacedTarget> candidatesToCheck(
       long nowNanos, DispatchRequest request, List<PlacedTarget> ready, Predicate<String> version) {
     List<PlacedTarget> candidates =
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/FleetPlacementTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/FleetPlacementTest.java
@@ -2,6 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -9,6 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.target.Decision;
 import org.waxwingbeam.target.Dispatcher;
 import org.waxwingbeam.target.LoadReport;
 import org.waxwingbeam.wire.routing.RoutingDocument;
@@ -102,6 +106,27 @@
     assertThat((double) simulation.connections() / entries).isAtMost(9);
   }
 
+  @Test
+  void requestIsDecidedInTimeIfNoCandidateResponds() {
+    List<ProbeRequest> probes = new ArrayList<>();
+    Dispatcher dispatcher = placement(1, 152, 90, true, probes::add);
+    long ms = TimeUnit.MILLISECONDS.toNanos(1);
+
+    Decision first = dispatcher.request(0, LoadSimulation.request(1, 0));
+    assertThat(first).isEqualTo(new Decision.Queued(1, Optional.of(20 * ms)));
+    assertThat(dispatcher.request(10 * ms, LoadSimulation.request(2, 10 * ms)))
+        .isInstanceOf(Decision.Queued.class);
+    assertThat(probes).isNotEmpty();
+
+    assertThat(attempts(dispatcher.tick(19 * ms))).isEmpty();
+    assertThat(attempts(dispatcher.tick(20 * ms))).containsExactly(1L);
+    assertThat(attempts(dispatcher.tick(30 * ms))).containsExactly(2L);
+  }
+
+  private static List<Long> attempts(List<Decision> decisions) {
+    return decisions.stream().map(Decision::attemptId).toList();
+  }
+
   @Test
   void overloadDoesNotReduceTheRequestsServedInTime() {
     double full = 0.9 * CAPACITY * 90;
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/LoadSimulation.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/LoadSimulation.java
@@ -135,6 +135,22 @@
     return records(TARGETS);
   }
 
+  /** Returns a request for a target that arrives at the given time. */
+  static DispatchRequest request(long attempt, long nowNanos) {
+    return new DispatchRequest(
+        attempt,
+        new ServiceName("alpha"),
+        new AccountName("common"),
+        new RouteName("r"),
+        true,
+        1,
+        64,
+        nowNanos + DEADLINE,
+        nowNanos + GOAL,
+        false,
+        Set.of());
+  }
+
   private void schedule(long time, Runnable run) {
     events.add(new Event(time, run));
   }
@@ -244,22 +260,7 @@
     void sendRequest() {
       long attempt = ++attempts;
       arrivals.put(attempt, now);
-      apply(
-          List.of(
-              dispatcher.request(
-                  now,
-                  new DispatchRequest(
-                      attempt,
-                      new ServiceName("alpha"),
-                      new AccountName("common"),
-                      new RouteName("r"),
-                      true,
-                      1,
-                      64,
-                      now + DEADLINE,
-                      now + GOAL,
-                      false,
-                      Set.of()))));
+      apply(List.of(dispatcher.request(now, request(attempt, now))));
       sendRequestedProbes();
     }
 
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/MoveControllerTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/MoveControllerTest.java
@@ -124,7 +124,7 @@
   @Test
   void repeatedReportsAreNotCountedTwice() {
     for (int i = 0; i < 10; i++) {
-      controller.applySamples(i * SECOND, "front-1", counts(i * 1_000, 100, 12, 2));
+      controller.applySamples(i * SECOND, "front-1", counts(i * 1_000L, 100, 12, 2));
     }
 
     assertThat(controller.next(9 * SECOND, MOVE)).isEmpty();
