--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/CrashRecordCodec.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/CrashRecordCodec.java
@@ -5,6 +5,7 @@
 import org.waxwingbeam.caller.CrashRecord;
 import org.waxwingbeam.logging.EventLog;
 import org.waxwingbeam.model.TargetId;
+import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.wire.feed.CrashSighting;
 
 /** Converts crash records of suspected poison requests to and from their wire form. */
@@ -36,14 +37,13 @@
   }
 
   private static Optional<TargetId> parseTargetId(String text) {
-    int colon = text.lastIndexOf(':');
-    try {
-      return Optional.of(
-          new TargetId(
-              text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1))));
-    } catch (IllegalArgumentException malformed) {
-      LOG.warn("crash-record-malformed", "target", text, "reason", malformed.getMessage());
-      return Optional.empty();
+    Optional<TargetId> parsed =
+        Endpoint.parse(text)
+            .filter(each -> each.port() > 0 && !each.host().isBlank())
+            .map(each -> new TargetId(each.host(), each.port()));
+    if (parsed.isEmpty()) {
+      LOG.warn("crash-record-malformed", "target", text);
     }
+    return parsed;
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedClient.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedClient.java
@@ -141,17 +141,11 @@
   }
 
   private static Optional<Endpoint> endpoint(String text) {
-    int colon = text.lastIndexOf(':');
-    try {
-      if (colon >= 1) {
-        return Optional.of(
-            new Endpoint(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1))));
-      }
-    } catch (IllegalArgumentException malformed) {
-      LOG.debug("replica-port-malformed", "reason", malformed.getMessage());
+    Optional<Endpoint> parsed = Endpoint.parse(text);
+    if (parsed.isEmpty()) {
+      LOG.warn("replica-address-malformed", "address", text);
     }
-    LOG.warn("replica-address-malformed", "address", text);
-    return Optional.empty();
+    return parsed;
   }
 
   @Override
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/peer/net/LoadExchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/peer/net/LoadExchange.java
@@ -79,15 +79,11 @@
   }
 
   private static Optional<InetSocketAddress> parseAddress(String text) {
-    int colon = text.lastIndexOf(':');
-    try {
-      return Optional.of(
-          new InetSocketAddress(
-              text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1))));
-    } catch (IllegalArgumentException malformed) {
-      LOG.warn("peer-address-malformed", "address", text, "reason", malformed.getMessage());
-      return Optional.empty();
+    Optional<Endpoint> parsed = Endpoint.parse(text);
+    if (parsed.isEmpty()) {
+      LOG.warn("peer-address-malformed", "address", text);
     }
+    return parsed.map(Endpoint::socketAddress);
   }
 
   /**
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/Endpoint.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/Endpoint.java
@@ -1,6 +1,7 @@
 package org.waxwingbeam.settings;
 
 import java.net.InetSocketAddress;
+import java.util.Optional;
 
 /**
  * An IP address and port, to listen on or to connect to.
@@ -23,6 +24,21 @@
     }
   }
 
+  /** Parses the form that {@link #toString} returns; returns empty if the text is malformed. */
+  public static Optional<Endpoint> parse(String text) {
+    int colon = text.lastIndexOf(':');
+    if (colon < 1) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(
+          new Endpoint(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1))));
+    } catch (IllegalArgumentException malformed) {
+      // The caller reports the text.
+      return Optional.empty();
+    }
+  }
+
   /** Returns the address as a socket address. */
   public InetSocketAddress socketAddress() {
     return new InetSocketAddress(host, port);
