The time limit of a head and the range of a port are each worked out once

A planned stop asked for the longest time of a request in its own words beside ExchangeTimeouts; TargetRecordValidator checked the port beside TargetId. A request whose metadata can't be read is refused for that, also during a stop. An unused constant goes.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerConnection.java
@@ -29,6 +29,7 @@
 import org.waxwingbeam.caller.CallerProtocol;
 import org.waxwingbeam.caller.Classification;
 import org.waxwingbeam.caller.RetryAfterDelay;
+import org.waxwingbeam.caller.RoutePolicy;
 import org.waxwingbeam.control.RecordedResponse;
 import org.waxwingbeam.model.ErrorKind;
 import org.waxwingbeam.model.Parameter;
@@ -246,14 +247,14 @@
 
   private Optional<ErrorKind> admissionRefusal(
       Classification classification, Optional<RequestMetadata> metadata) {
-    if (!(classification instanceof Classification.Accepted accepted)) {
+    if (!(classification instanceof Classification.Accepted accepted) || metadata.isEmpty()) {
+      // Is refused for another reason, unless no request is accepted.
       return context.admission().refusal(0, true);
     }
-    long limitMs = accepted.policy().value(Parameter.DEADLINE);
-    long maxMs = Math.min(limitMs, metadata.flatMap(CallerConnection::deadlineMs).orElse(limitMs));
+    RoutePolicy policy = accepted.policy();
     return context
         .admission()
-        .refusal(TimeUnit.MILLISECONDS.toNanos(maxMs), accepted.policy().idempotent());
+        .refusal(ExchangeTimeouts.headTimeoutNanos(policy, metadata.get()), policy.idempotent());
   }
 
   /** Refuses a request that has no route or may not be served now. */
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeContext.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeContext.java
@@ -53,9 +53,6 @@
 
   /** Decides whether an entry instance accepts new requests. */
   public interface RequestAdmission {
-    /** Accepts every request. */
-    RequestAdmission ALWAYS = (maxDurationNanos, idempotent) -> Optional.empty();
-
     /**
      * Returns the error with which a request is refused, or empty if it is accepted.
      *
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeTimeouts.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeTimeouts.java
@@ -39,19 +39,25 @@
   private boolean responseStarted;
 
   ExchangeTimeouts(RoutePolicy policy, RequestMetadata metadata, long nowNanos) {
-    long deadlineMs = policy.value(Parameter.DEADLINE);
     transfer = policy.transfer();
-    headTimeoutNanos =
-        Math.min(deadlineMs, metadata.deadlineMs().orElse(deadlineMs)) * NANOS_PER_MS;
+    headTimeoutNanos = headTimeoutNanos(policy, metadata);
     idleTimeoutNanos = policy.value(Parameter.TRANSFER_IDLE) * NANOS_PER_MS;
     totalTimeoutNanos = policy.value(Parameter.TRANSFER_TOTAL) * NANOS_PER_MS;
     responseTimeoutNanos =
-        transfer ? totalTimeoutNanos : deadlineMs * NANOS_PER_MS + COMPLETION_GRACE_NANOS;
+        transfer
+            ? totalTimeoutNanos
+            : policy.value(Parameter.DEADLINE) * NANOS_PER_MS + COMPLETION_GRACE_NANOS;
     startNanos = nowNanos;
     lastProgressNanos = nowNanos;
     headDeadlineNanos = nowNanos + headTimeoutNanos;
   }
 
+  /** Returns the longest time until the head of the response, by the route and the caller. */
+  static long headTimeoutNanos(RoutePolicy policy, RequestMetadata metadata) {
+    long deadlineMs = policy.value(Parameter.DEADLINE);
+    return Math.min(deadlineMs, metadata.deadlineMs().orElse(deadlineMs)) * NANOS_PER_MS;
+  }
+
   /** Returns when the request arrived. */
   long startNanos() {
     return startNanos;
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/TargetRecordValidator.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/TargetRecordValidator.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.regex.Pattern;
+import org.waxwingbeam.model.TargetId;
 import org.waxwingbeam.wire.feed.TargetRecord;
 
 /**
@@ -15,8 +16,6 @@
  * @since 0.1.0
  */
 public final class TargetRecordValidator {
-  private static final int MAX_PORT = 65_535;
-
   /** A target with more slots would appear to be idle under any load. */
   private static final int MAX_SLOTS = 100_000;
 
@@ -40,8 +39,9 @@
     if (!isIpAddress(record.getHost())) {
       return Optional.of("host '%s': expected an IP address".formatted(record.getHost()));
     }
-    if (record.getPort() < 1 || record.getPort() > MAX_PORT) {
-      return Optional.of("port %d: expected 1 to %d".formatted(record.getPort(), MAX_PORT));
+    Optional<String> addressFault = addressFault(record);
+    if (addressFault.isPresent()) {
+      return addressFault;
     }
     if (record.getSlots() < 1 || record.getSlots() > MAX_SLOTS) {
       return Optional.of("slots %d: expected 1 to %d".formatted(record.getSlots(), MAX_SLOTS));
@@ -52,6 +52,15 @@
     return Optional.empty();
   }
 
+  private static Optional<String> addressFault(TargetRecord record) {
+    try {
+      var unused = new TargetId(record.getHost(), record.getPort());
+      return Optional.empty();
+    } catch (IllegalArgumentException malformed) {
+      return Optional.of(malformed.getMessage());
+    }
+  }
+
   // A name would be looked up on the event loop.
   private static boolean isIpAddress(String host) {
     return IPV4.matcher(host).matches() || IPV6.matcher(host).matches();
