--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -40,7 +40,6 @@
 import org.waxwingbeam.wire.feed.EntryFrame;
 import org.waxwingbeam.wire.feed.EntryGreeting;
 import org.waxwingbeam.wire.feed.LoadBatch;
-import org.waxwingbeam.wire.feed.TargetLoad;
 import org.waxwingbeam.wire.feed.TargetRecord;
 import org.waxwingbeam.wire.routing.CallerLimits;
 import org.waxwingbeam.wire.routing.RoutingState;
@@ -266,6 +265,7 @@
 
   private void updateLoadPeers() {
     reportsReachAll = loadPeers.nameAllOthers();
+    // Of a large fleet, each report would reach hardly any instance that uses the same target.
     loadExchange.setPeers(reportsReachAll ? loadPeers.addresses() : List.of());
   }
 
@@ -429,7 +429,7 @@
             each -> {
               TargetId target = new TargetId(each.getHost(), each.getPort());
               if (each.getSlots() > 0) {
-                dispatcher.applyReport(now, target, LoadReportSender.toLoadReport(each));
+                dispatcher.applyReport(now, target, TargetLoadCodec.toLoadReport(each));
               }
               if (each.getColdLeftMs() > 0) {
                 dispatcher.markCold(now, target, each.getColdLeftMs());
@@ -442,41 +442,19 @@
 
   /** Sends load reports of targets and notices of sent requests to the other entry instances. */
   private final class LoadReportSender implements PlacementContext.LoadListener {
-    static LoadReport toLoadReport(TargetLoad load) {
-      return new LoadReport(
-          load.getRunning(), load.getWaiting(), load.getSlots(), load.getSlownessPercent());
-    }
-
     @Override
     public void onRequestSent(TargetId target) {
-      send(loadOf(target).setBegun(1));
+      loadExchange.send(TargetLoadCodec.requestSent(target));
     }
 
     @Override
     public void onColdTarget(TargetId target, int coldLeftMs) {
-      send(loadOf(target).setColdLeftMs(coldLeftMs));
-    }
-
-    // In a fleet of which each report reaches only a part, it would hardly reach those that use the
-    // same target.
-    private void send(TargetLoad.Builder load) {
-      if (reportsReachAll()) {
-        loadExchange.send(load.build());
-      }
-    }
-
-    private static TargetLoad.Builder loadOf(TargetId target) {
-      return TargetLoad.newBuilder().setHost(target.host()).setPort(target.port());
+      loadExchange.send(TargetLoadCodec.cold(target, coldLeftMs));
     }
 
     @Override
     public void onReport(TargetId target, LoadReport report) {
-      send(
-          loadOf(target)
-              .setRunning(report.inFlight())
-              .setWaiting(report.queued())
-              .setSlots(report.slots())
-              .setSlownessPercent(report.slownessPercent()));
+      loadExchange.send(TargetLoadCodec.report(target, report));
     }
   }
 
