Status checks for requests stay within what the settings allow for each target

In a large fleet every request checked up to three targets, whatever their number: at 13 requests a second and target each target got 23 checks, so targets with short requests would get more than the platform's limit. Each entry instance now sends at most its part of the limit to a target, divided by an upper bound of those that use it, on average and at most a second's worth ahead (CheckBudget). When no check is left, a request goes by what is known.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacedTarget.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacedTarget.java
@@ -29,6 +29,7 @@
   private final FailureTracker failureTracker = new FailureTracker();
   private final ColdTargetPacer pacer;
   private final ProbeSchedule probes;
+  private final CheckBudget checkBudget = new CheckBudget();
   private final long createdNanos;
   private TargetRecord record;
   private boolean addressReused;
@@ -145,6 +146,21 @@
     return load.reportAgeNanos(nowNanos).filter(age -> age < CONTACT_LIFETIME_NANOS).isPresent();
   }
 
+  /** Returns whether a request may wait for a status check: an outstanding one or a new one. */
+  boolean isCheckPossible(long nowNanos) {
+    return probes.isInFlight() || checkBudget.allows(nowNanos);
+  }
+
+  /**
+   * Records that a status check is sent for a request.
+   *
+   * @param intervalNanos average time between two such checks of this entry instance
+   */
+  void startRequestedProbe(long nowNanos, long intervalNanos) {
+    checkBudget.record(nowNanos, intervalNanos);
+    startProbe(nowNanos);
+  }
+
   /** Returns whether the response to a status check is outstanding. */
   boolean isProbeInFlight() {
     return probes.isInFlight();
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
@@ -1,14 +1,10 @@
 package org.waxwingbeam.target.placement;
 
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.waxwingbeam.model.ErrorKind;
 import org.waxwingbeam.model.TargetId;
@@ -50,20 +46,18 @@
   private static final double JITTER = 0.1;
 
   private static final long NANOS_PER_MS = 1_000_000;
+  private static final double NANOS_PER_SECOND = 1e9;
   private static final long DEFAULT_COLD_MS = 3_000;
   private static final double DEFAULT_COLD_PER_SECOND = 4;
 
   private final PlacementContext context;
   private final RandomGenerator random;
   private final TrafficSplit trafficSplit;
-  private final Map<String, PlacedTarget> targets = new HashMap<>();
-  private Map<TargetId, PlacedTarget> byAddress = Map.of();
+  private final PlacedTargets targets;
   private final MoveSamples samples = new MoveSamples();
   private final ServiceAverages averages = new ServiceAverages();
   private final DataCentreAffinity affinity = new DataCentreAffinity();
   private final PendingSelections pending = new PendingSelections();
-  private final SubsetCache subsetCache;
-  private Optional<List<PlacedTarget>> readyTargets = Optional.empty();
 
   private ServiceTerms terms =
       ServiceTerms.newBuilder()
@@ -71,11 +65,10 @@
           .setColdPerSecond(DEFAULT_COLD_PER_SECOND)
           .build();
   private Optional<ServiceMove> move = Optional.empty();
-  private Set<String> dataCentresOut = Set.of();
 
   ServicePlacement(PlacementContext context) {
     this.context = context;
-    subsetCache = new SubsetCache(context);
+    targets = new PlacedTargets(context);
     random = context.random();
     trafficSplit = new TrafficSplit(random.nextDouble());
   }
@@ -87,53 +80,25 @@
         .ifPresent(each -> terms = each);
     move =
         state.getMovesList().stream().filter(each -> each.getService().equals(service)).findFirst();
-    dataCentresOut = Set.copyOf(state.getDataCentresOutList());
-    readyTargets = Optional.empty();
+    targets.takeOut(state.getDataCentresOutList());
   }
 
   void update(long nowNanos, TargetRecord record) {
-    store(nowNanos, record);
-    subsetCache.invalidate();
-    readyTargets = Optional.empty();
-    byAddress =
-        targets.values().stream()
-            .collect(Collectors.toMap(PlacedTarget::id, each -> each, (one, other) -> other));
-  }
-
-  private void store(long nowNanos, TargetRecord record) {
-    if (record.getState() == TargetRecord.State.GONE) {
-      targets.remove(record.getId());
-      return;
-    }
-    PlacedTarget known = targets.get(record.getId());
-    boolean replaced =
-        known == null
-            || !known.id().equals(new TargetId(record.getHost(), record.getPort()))
-            || known.record().getStartedMs() != record.getStartedMs()
-            || !known.version().value().equals(record.getVersion());
-    if (replaced) {
-      targets.values().removeIf(each -> isReplacedBy(each, record));
-      known = new PlacedTarget(nowNanos, record, context);
-      targets.put(record.getId(), known);
-    }
-    known.update(nowNanos, record, coldIntervalNanos());
-  }
-
-  private static boolean isReplacedBy(PlacedTarget target, TargetRecord record) {
-    return target.record().getPort() == record.getPort()
-        && target.record().getHost().equals(record.getHost());
+    targets.update(nowNanos, record, this::coldIntervalNanos);
   }
 
   void applyReport(long reportNanos, TargetId target, LoadReport report) {
-    find(target).ifPresent(each -> each.applyReport(reportNanos, report));
+    targets.find(target).ifPresent(each -> each.applyReport(reportNanos, report));
   }
 
   void addRemoteRequests(long nowNanos, TargetId target, int requests) {
-    find(target).ifPresent(each -> each.addRemoteRequests(nowNanos, requests));
+    targets.find(target).ifPresent(each -> each.addRemoteRequests(nowNanos, requests));
   }
 
   void markCold(long nowNanos, TargetId target, int coldLeftMs) {
-    find(target).ifPresent(each -> each.markCold(nowNanos, coldLeftMs, coldIntervalNanos()));
+    targets
+        .find(target)
+        .ifPresent(each -> each.markCold(nowNanos, coldLeftMs, coldIntervalNanos()));
   }
 
   private boolean hasStatusChecks() {
@@ -150,16 +115,12 @@
         context.reportsReachAll().getAsBoolean()
             ? each -> each.isProbeDue(nowNanos, assignment.rank(each.record().getId()))
             : each -> each.isTrialProbeDue(nowNanos);
-    List<PlacedTarget> due =
-        targets.values().stream()
-            .filter(each -> !dataCentresOut.contains(each.record().getDataCentre()))
-            .filter(isDue)
-            .toList();
-    return due.stream().map(each -> startProbe(nowNanos, each)).toList();
+    List<PlacedTarget> due = targets.inService().stream().filter(isDue).toList();
+    due.forEach(each -> each.startProbe(nowNanos));
+    return due.stream().map(this::probeRequest).toList();
   }
 
-  private ProbeRequest startProbe(long nowNanos, PlacedTarget target) {
-    target.startProbe(nowNanos);
+  private ProbeRequest probeRequest(PlacedTarget target) {
     return new ProbeRequest(
         target.id(), target.record().getId(), terms.getHealthPath(), terms.getConnectionLimit());
   }
@@ -169,7 +130,7 @@
    */
   List<Decision> completeProbe(long nowNanos, ProbeRequest probe, ProbeResult result) {
     Optional<PlacedTarget> target =
-        find(probe.target()).filter(each -> each.record().getId().equals(probe.instance()));
+        targets.find(probe.target()).filter(each -> each.record().getId().equals(probe.instance()));
     target.ifPresent(each -> applyProbeResult(nowNanos, each, result));
     boolean idle = target.filter(each -> isUsableAtOnce(nowNanos, each)).isPresent();
     return decideAll(nowNanos, pending.onChecked(probe.instance(), idle));
@@ -191,7 +152,7 @@
 
   private List<Decision> decideAll(long nowNanos, List<PendingSelections.Pending> due) {
     return due.stream()
-        .map(each -> decide(nowNanos, each.request(), ready(), each.version()))
+        .map(each -> decide(nowNanos, each.request(), targets.ready(), each.version()))
         .toList();
   }
 
@@ -207,19 +168,20 @@
     }
   }
 
-  private Optional<PlacedTarget> find(TargetId id) {
-    return Optional.ofNullable(byAddress.get(id));
-  }
-
   private long coldIntervalNanos() {
     int senders =
-        subset().map(TargetSubset::maxLocalSenders).orElse(context.fleetSize().getAsInt());
+        targets.subset().map(TargetSubset::maxLocalSenders).orElse(context.fleetSize().getAsInt());
     return ColdTargetPacer.intervalNanos(terms.getColdPerSecond(), senders);
   }
 
-  /** Returns the targets that this entry instance uses, or empty if it uses all of them. */
-  private Optional<TargetSubset> subset() {
-    return subsetCache.current(targets.values());
+  /**
+   * Returns the average time between two checks of a target, with which all entry instances that
+   * use it together stay within the checks that it allows.
+   */
+  private long checkIntervalNanos() {
+    int senders =
+        targets.subset().map(TargetSubset::maxSenders).orElse(context.fleetSize().getAsInt());
+    return (long) (NANOS_PER_SECOND * senders / context.checksPerSecond());
   }
 
   /**
@@ -227,11 +189,11 @@
    * some targets have responded to a status check.
    */
   Decision request(long nowNanos, DispatchRequest request) {
-    List<PlacedTarget> ready = ready();
+    List<PlacedTarget> ready = targets.ready();
     Predicate<String> version =
         trafficSplit.nextVersions(move, ready, context.stoppedMoves().isStopped(move));
     List<PlacedTarget> awaited =
-        hasStatusChecks() && subset().isPresent()
+        hasStatusChecks() && targets.subset().isPresent()
             ? candidatesToCheck(nowNanos, request, ready, version)
             : List.of();
     if (awaited.isEmpty()) {
@@ -239,10 +201,10 @@
     }
     pending.add(
         nowNanos, request, version, awaited.stream().map(each -> each.record().getId()).toList());
-    awaited.stream()
-        .filter(each -> !each.isProbeInFlight())
-        .map(each -> startProbe(nowNanos, each))
-        .forEach(context.probeSender());
+    List<PlacedTarget> unchecked =
+        awaited.stream().filter(each -> !each.isProbeInFlight()).toList();
+    unchecked.forEach(each -> each.startRequestedProbe(nowNanos, checkIntervalNanos()));
+    unchecked.stream().map(this::probeRequest).forEach(context.probeSender());
     return new Decision.Queued(request.attemptId(), Optional.of(PendingSelections.MAX_WAIT_NANOS));
   }
 
@@ -261,9 +223,13 @@
             .limit(CHECKED_CANDIDATES)
             .map(Ranked::target)
             .toList();
-    return candidates.stream().anyMatch(each -> each.isIdle(nowNanos))
-        ? List.of()
-        : candidates.stream().filter(each -> !each.hasFreshReport(nowNanos)).toList();
+    if (candidates.stream().anyMatch(each -> each.isIdle(nowNanos))) {
+      return List.of();
+    }
+    return candidates.stream()
+        .filter(each -> !each.hasFreshReport(nowNanos))
+        .filter(each -> each.isCheckPossible(nowNanos))
+        .toList();
   }
 
   private double checkScore(long nowNanos, DispatchRequest request, PlacedTarget target) {
@@ -272,19 +238,6 @@
     return light && target.isInContact(nowNanos) ? score * IN_CONTACT_FACTOR : score;
   }
 
-  /** Returns the targets that are announced as ready; the list changes only with announcements. */
-  private List<PlacedTarget> ready() {
-    if (readyTargets.isEmpty()) {
-      readyTargets =
-          Optional.of(
-              targets.values().stream()
-                  .filter(PlacedTarget::isReady)
-                  .filter(each -> !dataCentresOut.contains(each.record().getDataCentre()))
-                  .toList());
-    }
-    return readyTargets.get();
-  }
-
   private Decision decide(
       long nowNanos, DispatchRequest request, List<PlacedTarget> ready, Predicate<String> version) {
     Selection selection = select(nowNanos, request, ready, version);
@@ -365,7 +318,7 @@
    */
   private Optional<PlacedTarget> bestIdle(
       long nowNanos, DispatchRequest request, List<PlacedTarget> usable) {
-    return subset().isEmpty()
+    return targets.subset().isEmpty()
         ? Optional.empty()
         : lowestScore(
             nowNanos, request, usable.stream().filter(each -> isUsableAtOnce(nowNanos, each)));
@@ -401,12 +354,12 @@
                 && version.test(each.record().getVersion())
                 && !request.excluded().contains(each.id())
                 && each.allowsRequest(nowNanos);
-    Optional<TargetSubset> own = subset();
+    Optional<TargetSubset> own = targets.subset();
     if (own.isEmpty()) {
       return ready.stream().filter(allowed);
     }
     List<PlacedTarget> preferred =
-        subsetCache.members(ready).stream()
+        targets.readyIn(own.get()).stream()
             .filter(allowed)
             .filter(each -> isInSubset(nowNanos, each, own.get()))
             .filter(each -> each.failureTracker().isUsable(nowNanos, hasStatusChecks()))
@@ -455,7 +408,8 @@
 
   /** Records the end of an attempt. */
   void complete(long nowNanos, DispatchRequest request, Completion completion) {
-    find(completion.target())
+    targets
+        .find(completion.target())
         .ifPresent(
             target -> {
               recordCompletion(nowNanos, request, target, completion);
@@ -500,6 +454,6 @@
 
   /** Returns the number of targets that accept requests. */
   long readyTargetCount() {
-    return targets.values().stream().filter(PlacedTarget::isReady).count();
+    return targets.readyCount();
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/TargetSubset.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/TargetSubset.java
@@ -26,11 +26,13 @@
   private final Set<String> local;
   private final Set<String> remote;
   private final int maxLocalSenders;
+  private final int maxSenders;
 
-  private TargetSubset(Set<String> local, Set<String> remote, int maxLocalSenders) {
+  private TargetSubset(Set<String> local, Set<String> remote, int maxLocalSenders, int maxSenders) {
     this.local = local;
     this.remote = remote;
     this.maxLocalSenders = maxLocalSenders;
+    this.maxSenders = maxSenders;
   }
 
   /**
@@ -57,11 +59,18 @@
     long dataCentres = Math.max(1, members.stream().map(Member::dataCentre).distinct().count());
     double localEntries = Math.max(1, (double) fleetSize / dataCentres);
     int localSize = size(local.size(), localEntries);
-    double senders = localEntries * localSize / Math.max(1, local.size());
+    int remoteSize = size(remote.size(), fleetSize);
+    double localSenders = localEntries * localSize / Math.max(1, local.size());
+    double remoteSenders = (fleetSize - localEntries) * remoteSize / Math.max(1, remote.size());
     return new TargetSubset(
         first(local, entry, localSize),
-        first(remote, entry, size(remote.size(), fleetSize)),
-        (int) Math.ceil(Math.min(fleetSize, COVERAGE_MARGIN * senders)));
+        first(remote, entry, remoteSize),
+        upperBound(localSenders, fleetSize),
+        upperBound(localSenders + remoteSenders, fleetSize));
+  }
+
+  private static int upperBound(double average, int fleetSize) {
+    return (int) Math.ceil(Math.min(fleetSize, COVERAGE_MARGIN * average));
   }
 
   private static int size(int targets, double entries) {
@@ -98,4 +107,9 @@
   int maxLocalSenders() {
     return maxLocalSenders;
   }
+
+  /** Returns an upper bound of the entry instances that have a target in their subset. */
+  int maxSenders() {
+    return maxSenders;
+  }
 }
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/FleetPlacementTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/FleetPlacementTest.java
@@ -26,8 +26,16 @@
 
   private static final double NOISE = 0.25;
 
+  /** Status checks per second that all entry instances may send to one target. */
+  private static final double CHECKS_PER_SECOND = 60;
+
   private static Dispatcher placement(
-      long seed, int entries, int targets, boolean checked, Consumer<ProbeRequest> probes) {
+      long seed,
+      int entries,
+      int targets,
+      boolean checked,
+      double checksPerSecond,
+      Consumer<ProbeRequest> probes) {
     PlacementDispatcher dispatcher =
         new PlacementDispatcher(
             new PlacementContext(
@@ -38,7 +46,7 @@
                 probes,
                 new SplittableRandom(seed),
                 new NoOpLoadListener(),
-                60,
+                checksPerSecond,
                 new StoppedMoves()));
     dispatcher.configure(LoadSimulation.STATE);
     LoadSimulation.records(targets).forEach(each -> dispatcher.update(0, each));
@@ -46,11 +54,17 @@
   }
 
   private static LoadSimulation fleet(long seed, int entries, int targets, boolean checked) {
+    return fleet(seed, entries, targets, checked, CHECKS_PER_SECOND);
+  }
+
+  private static LoadSimulation fleet(
+      long seed, int entries, int targets, boolean checked, double checksPerSecond) {
     return new LoadSimulation(
             seed,
             entries,
             targets,
-            (entry, probes) -> placement(seed * 1_000 + entry, entries, targets, checked, probes))
+            (entry, probes) ->
+                placement(seed * 1_000 + entry, entries, targets, checked, checksPerSecond, probes))
         .withoutSharedReports()
         .withNoise(NOISE);
   }
@@ -81,10 +95,24 @@
     assertThat((double) simulation.connections() / entries).isAtMost(9);
   }
 
+  /** Targets of which each serves more requests a second than it may be checked. */
+  @ParameterizedTest
+  @CsvSource({"152,90,10", "152,90,3", "60,20,10", "20,30,5"})
+  void checksStayWithinTheBudgetOfEachTarget(int entries, int targets, double perSecond) {
+    LoadSimulation simulation = fleet(3, entries, targets, true, perSecond);
+
+    LoadSimulation.Result result = simulation.run(0.8 * CAPACITY * targets, DURATION);
+
+    double checks =
+        (double) simulation.checks() / targets / TimeUnit.NANOSECONDS.toSeconds(DURATION);
+    assertThat(checks).isAtMost(perSecond);
+    assertThat(result.inTime()).isGreaterThan(0);
+  }
+
   @Test
   void requestIsDecidedInTimeIfNoCandidateResponds() {
     List<ProbeRequest> probes = new ArrayList<>();
-    Dispatcher dispatcher = placement(1, 152, 90, true, probes::add);
+    Dispatcher dispatcher = placement(1, 152, 90, true, CHECKS_PER_SECOND, probes::add);
     long ms = TimeUnit.MILLISECONDS.toNanos(1);
 
     Decision first = dispatcher.request(0, LoadSimulation.request(1, 0));
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/TargetSubsetTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/TargetSubsetTest.java
@@ -43,10 +43,13 @@
     List<TargetSubset> subsets =
         IntStream.range(0, entries).mapToObj(each -> subset(members, each, entries)).toList();
     int bound = subsets.getFirst().maxLocalSenders();
+    int boundOfAll = subsets.getFirst().maxSenders();
     for (TargetSubset.Member each : members) {
       long senders = subsets.stream().filter(one -> one.containsLocally(each.id())).count();
       assertThat(senders).isAtLeast(2);
       assertThat(senders).isAtMost(bound);
+      assertThat(subsets.stream().filter(one -> one.contains(each.id())).count())
+          .isAtMost(boundOfAll);
     }
   }
 
