How long a silent target is offered to new entry instances follows the report interval

It was 10 s whatever the deployment's report interval, so where targets report every 10 s or more, live ones would have been kept from new entry instances. It is six intervals now, at least 10 s as before; the interval comes from the platform's settings.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
@@ -54,6 +54,14 @@
   /** The system's own processes share a private network and use no credential. */
   private static final String NO_CREDENTIAL = "";
 
+  private static final long NANOS_PER_MS = 1_000_000;
+
+  /** Report intervals for which a target is presumed ready: single reports may be lost or late. */
+  private static final long READY_REPORTS = 6;
+
+  /** The same time at least: a report may arrive seconds late, however short the interval. */
+  private static final long MIN_READY_LIFETIME_NANOS = TimeUnit.SECONDS.toNanos(10);
+
   /** Maximum time to wait until all entry instances have applied a target's leave report. */
   private static final long APPLY_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
@@ -78,6 +86,7 @@
    * @param dataFolder the folder of the replicated log
    * @param mayCreate whether the replica may create the log: on the first start of the system only
    * @param wantedVoters the number of voters to reach
+   * @param reportIntervalMs time between two reports of a target
    */
   public record Settings(
       InstanceName instance,
@@ -86,11 +95,17 @@
       List<Endpoint> seeds,
       Path dataFolder,
       boolean mayCreate,
-      int wantedVoters) {
+      int wantedVoters,
+      long reportIntervalMs) {
     /** Copies the list of seeds. */
     public Settings {
       seeds = List.copyOf(seeds);
     }
+
+    /** Age of its latest report at which a new entry instance is not told of a target. */
+    long readyLifetimeNanos() {
+      return Math.max(MIN_READY_LIFETIME_NANOS, READY_REPORTS * reportIntervalMs * NANOS_PER_MS);
+    }
   }
 
   private RoutedControl(
@@ -320,7 +335,7 @@
 
     @Override
     public List<TargetRecord> targets() {
-      return targetDirectory.currentRecords(System.nanoTime());
+      return targetDirectory.currentRecords(System.nanoTime(), settings.readyLifetimeNanos());
     }
 
     @Override
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/TargetDirectory.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/TargetDirectory.java
@@ -27,12 +27,6 @@
   /** Reported ends of a cold start that differ by no more than this count as equal. */
   private static final long COLD_END_TOLERANCE_NANOS = 250 * NANOS_PER_MS;
 
-  /**
-   * Age of its latest report at which a target is no longer presumed ready by who does not know it
-   * yet: several report intervals, since single reports may be seconds late.
-   */
-  private static final long READY_LIFETIME_NANOS = 10_000 * NANOS_PER_MS;
-
   /** Number of records above which the oldest record of a departed target is dropped. */
   private static final int MAX_RECORDS = 4_096;
 
@@ -151,17 +145,18 @@
    * may have left there, which this replica does not learn.
    *
    * @param nowNanos the current time
+   * @param lifetimeNanos age of its latest report at which a target is no longer presumed ready
    */
-  public List<TargetRecord> currentRecords(long nowNanos) {
+  public List<TargetRecord> currentRecords(long nowNanos, long lifetimeNanos) {
     return byId.values().stream()
-        .filter(each -> isCurrent(nowNanos, each))
+        .filter(each -> isCurrent(nowNanos, lifetimeNanos, each))
         .map(each -> asOf(nowNanos, each))
         .toList();
   }
 
-  private static boolean isCurrent(long nowNanos, Entry entry) {
+  private static boolean isCurrent(long nowNanos, long lifetimeNanos, Entry entry) {
     return entry.record().getState() != TargetRecord.State.READY
-        || nowNanos - entry.receivedNanos() <= READY_LIFETIME_NANOS;
+        || nowNanos - entry.receivedNanos() <= lifetimeNanos;
   }
 
   private static TargetRecord asOf(long nowNanos, Entry entry) {
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/TargetDirectoryTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/TargetDirectoryTest.java
@@ -89,9 +89,9 @@
         TargetRecord.newBuilder().setId("leaving").setState(TargetRecord.State.GONE).build());
     directory.merge(9 * second, record("reporting", 1, 2).toBuilder().setPort(81).build());
 
-    assertThat(directory.currentRecords(10 * second)).hasSize(3);
+    assertThat(directory.currentRecords(10 * second, 10 * second)).hasSize(3);
     assertThat(
-            directory.currentRecords(11 * second).stream()
+            directory.currentRecords(11 * second, 10 * second).stream()
                 .collect(Collectors.toMap(TargetRecord::getId, TargetRecord::getState)))
         .containsExactly("reporting", TargetRecord.State.READY, "leaving", TargetRecord.State.GONE);
     assertThat(directory.find(11 * second, "silent")).isPresent();
