A failed run of a periodic task no longer ends the series

Callers would see an entry instance that serves, but by a configuration that never changes again. Its connections to the control replicas are opened and kept alive by a task that the event loop drops for good, without a line in the log, once it has thrown: the replicas disconnect the silent instance after 2 s, and nothing reconnects it.

Found by reading; the same for the status checks of an entry instance, the timers of the product's own entry daemon, its control client, the connections between entry instances and the leader of version moves. RepeatingTask logs task-failed and goes on. The timer of a replica still ends its process. RepeatingTaskTest fails without the wrapper (two runs are missing).

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ControlDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ControlDaemon.java
@@ -9,6 +9,7 @@
 import java.util.HexFormat;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.waxwingbeam.concurrent.RepeatingTask;
 import org.waxwingbeam.control.EntryRegistry;
 import org.waxwingbeam.control.EntrySessions;
 import org.waxwingbeam.control.net.EntryStreamServer;
@@ -166,16 +167,14 @@
   }
 
   private void scheduleMoveTicks() {
-    group
-        .next()
-        .scheduleAtFixedRate(
-            moveLeader::tick, CanaryAnalysis.TICK_MS, CanaryAnalysis.TICK_MS, TimeUnit.MILLISECONDS)
-        .addListener(
-            ended -> {
-              if (ended.cause() != null && !ended.isCancelled()) {
-                LOG.warn("move-leader-failed", "reason", ended.cause().toString());
-              }
-            });
+    var unused =
+        group
+            .next()
+            .scheduleAtFixedRate(
+                new RepeatingTask("move-leader", moveLeader::tick),
+                CanaryAnalysis.TICK_MS,
+                CanaryAnalysis.TICK_MS,
+                TimeUnit.MILLISECONDS);
   }
 
   private static String newId() {
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
@@ -24,6 +24,7 @@
 import org.waxwingbeam.caller.net.RequestLog;
 import org.waxwingbeam.caller.net.RetryBudgets;
 import org.waxwingbeam.caller.net.SharedDispatcher;
+import org.waxwingbeam.concurrent.RepeatingTask;
 import org.waxwingbeam.control.AppliedConfiguration;
 import org.waxwingbeam.control.EntryView;
 import org.waxwingbeam.control.net.ControlClaimClient;
@@ -137,11 +138,12 @@
         new CallerServer(
             group, settings.callers(), settings::callerLimits, exchangeContext(dispatcher));
     controlClient.start();
-    scheduleEvery(dispatcher::tick, DISPATCH_TICK_MS);
-    scheduleEvery(moveClient::tick, VersionMoveClient.TICK_MS);
-    scheduleEvery(this::expireAnnouncements, EXPIRY_TICK_MS);
-    scheduleEvery(this::publishCrashRecords, CRASH_RECORD_TICK_MS);
+    scheduleEvery("dispatcher", dispatcher::tick, DISPATCH_TICK_MS);
+    scheduleEvery("version-moves", moveClient::tick, VersionMoveClient.TICK_MS);
+    scheduleEvery("announcements", this::expireAnnouncements, EXPIRY_TICK_MS);
+    scheduleEvery("crash-records", this::publishCrashRecords, CRASH_RECORD_TICK_MS);
     scheduleEvery(
+        "presence",
         () -> peerNetwork.publish(peerPresence.nextPresenceRecord()),
         PeerPresence.PRESENCE_PERIOD_MS);
   }
@@ -254,8 +256,12 @@
     return "%s-%x-".formatted(settings.instance().value(), bootId);
   }
 
-  private void scheduleEvery(Runnable task, long periodMs) {
-    timers.add(group.next().scheduleAtFixedRate(task, periodMs, periodMs, TimeUnit.MILLISECONDS));
+  private void scheduleEvery(String name, Runnable task, long periodMs) {
+    timers.add(
+        group
+            .next()
+            .scheduleAtFixedRate(
+                new RepeatingTask(name, task), periodMs, periodMs, TimeUnit.MILLISECONDS));
   }
 
   private Optional<ErrorKind> refusal() {
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -16,6 +16,7 @@
 import org.waxwingbeam.caller.net.RequestLog;
 import org.waxwingbeam.caller.net.RetryBudgets;
 import org.waxwingbeam.caller.net.SharedDispatcher;
+import org.waxwingbeam.concurrent.RepeatingTask;
 import org.waxwingbeam.control.net.FeedClient;
 import org.waxwingbeam.control.net.LoadPeerLists;
 import org.waxwingbeam.logging.EventLog;
@@ -119,6 +120,8 @@
   private final TargetConnections connections;
   private final TargetProber prober;
   private final StatusCheckLog statusCheckLog;
+  private final RepeatingTask statusChecks =
+      new RepeatingTask("status-checks", this::sendDueProbes);
   private final CallerServer callerServer;
   private RoutingState routingState = RoutingState.getDefaultInstance();
   private RouteTable routeTable = new RouteTable();
@@ -220,8 +223,16 @@
   public static RoutedEntry start(
       EventLoopGroup group, Settings settings, ExchangeContext.Protocols protocols) {
     RoutedEntry entry = new RoutedEntry(group, settings, protocols);
-    group.next().scheduleAtFixedRate(entry::tick, 0, FEED_TICK_MS, TimeUnit.MILLISECONDS);
-    group.next().execute(entry::sendDueProbes);
+    RepeatingTask feedTick = new RepeatingTask("feed", entry::tickFeed);
+    RepeatingTask reports = new RepeatingTask("reports", entry::sendReports);
+    // One timer wakes the process up less often than two.
+    Runnable both =
+        () -> {
+          feedTick.run();
+          reports.run();
+        };
+    group.next().scheduleAtFixedRate(both, 0, FEED_TICK_MS, TimeUnit.MILLISECONDS);
+    group.next().execute(entry.statusChecks);
     LOG.info(
         "entry-started",
         "instance",
@@ -235,9 +246,13 @@
     return entry;
   }
 
-  private void tick() {
+  private void tickFeed() {
+    feed.tick(System.nanoTime());
+  }
+
+  /** Sends what this instance has learned of version moves and of requests that crash targets. */
+  private void sendReports() {
     long now = System.nanoTime();
-    feed.tick(now);
     dispatcher
         .reportSamples(now)
         .forEach(each -> feed.sendToAll(EntryFrame.newBuilder().setEvidence(each).build()));
@@ -250,13 +265,14 @@
   }
 
   private void sendDueProbes() {
+    // Scheduled first: a failure must not end the series.
+    long delayMs = reportsReachAll() ? PROBE_TICK_MS : SLOW_PROBE_TICK_MS;
+    group.next().schedule(statusChecks, delayMs, TimeUnit.MILLISECONDS);
     loadPeers
         .probeAssignment()
         .ifPresent(
             assignment ->
                 dispatcher.startDueProbes(System.nanoTime(), assignment).forEach(this::sendProbe));
-    long delayMs = reportsReachAll() ? PROBE_TICK_MS : SLOW_PROBE_TICK_MS;
-    group.next().schedule(this::sendDueProbes, delayMs, TimeUnit.MILLISECONDS);
   }
 
   private boolean reportsReachAll() {
--- /dev/null
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/concurrent/package-info.java
@@ -0,0 +1,2 @@
+/** Tasks that run again and again. */
+package org.waxwingbeam.concurrent;
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/ControlClient.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/ControlClient.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
+import org.waxwingbeam.concurrent.RepeatingTask;
 import org.waxwingbeam.control.AppliedConfiguration;
 import org.waxwingbeam.control.EntryStateReceiver;
 import org.waxwingbeam.control.EntryStateReceiver.ChangeGapException;
@@ -116,7 +117,12 @@
           long now = System.nanoTime();
           nextConnectNanos = now;
           timer =
-              Optional.of(loop.scheduleAtFixedRate(this::tick, 0, TICK_MS, TimeUnit.MILLISECONDS));
+              Optional.of(
+                  loop.scheduleAtFixedRate(
+                      new RepeatingTask("control-client", this::tick),
+                      0,
+                      TICK_MS,
+                      TimeUnit.MILLISECONDS));
         });
   }
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/peer/net/PeerNetwork.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/peer/net/PeerNetwork.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.waxwingbeam.concurrent.RepeatingTask;
 import org.waxwingbeam.control.EntryView;
 import org.waxwingbeam.control.net.Channels;
 import org.waxwingbeam.control.net.MessageFraming;
@@ -91,7 +92,10 @@
         group
             .next()
             .scheduleWithFixedDelay(
-                this::reconcile, 0, RECONCILE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+                new RepeatingTask("peer-connections", this::reconcile),
+                0,
+                RECONCILE_INTERVAL_MS,
+                TimeUnit.MILLISECONDS);
   }
 
   /** Returns the port that was bound. */
