Orders are acknowledged once entry instances have applied them; no outdated states are queued

What callers saw: a request sent right after the acknowledgement of a configuration was served by the version before. The acknowledgement waited for a majority of the replicas, but for no entry instance. The leader waits until every connected entry instance has confirmed the revision, at most 400 ms, and then logs order-unconfirmed with the names.

Entry instances now tell the replicas which revision they have received and applied; a replica sends no state that is known and has at most one on its way, then the newest.

A state that could not be applied counted as applied, and one failed frame ended the connection with all that followed it. The state is now replaced only as a whole, the connection goes on, and the replica sends the state again after a second (entry-behind).

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
@@ -65,6 +65,12 @@
   /** Maximum time to wait until all entry instances have applied a target's leave report. */
   private static final long APPLY_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
+  /**
+   * Maximum time to wait until all entry instances have applied an operator's order. It is short
+   * enough that an operator who gives up after a second still gets the response.
+   */
+  private static final long ORDER_APPLY_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
   private final Settings settings;
   private final Journal journal;
   private final ReplicatedState replicatedState;
@@ -198,7 +204,9 @@
   }
 
   /**
-   * Proposes an operator's routing change for the replicated log.
+   * Proposes an operator's routing change for the replicated log. An accepted change is reported
+   * once every connected entry instance has applied it, or after {@link
+   * #ORDER_APPLY_TIMEOUT_NANOS}.
    *
    * @param change the change
    * @param receiver called once with the outcome
@@ -208,6 +216,7 @@
         Command.newBuilder().setRouting(change).build(),
         outcome -> {
           OrderOutcome result = toOrderOutcome(outcome);
+          long revision = replicatedState.routing().state().getRevision();
           LOG.info(
               "order",
               "kind",
@@ -219,8 +228,24 @@
               "detail",
               outcome,
               "revision",
-              replicatedState.routing().state().getRevision());
-          receiver.accept(result);
+              revision);
+          if (result instanceof OrderOutcome.Accepted) {
+            whenInForce(revision, () -> receiver.accept(result));
+          } else {
+            receiver.accept(result);
+          }
+        });
+  }
+
+  private void whenInForce(long revision, Runnable task) {
+    feed.whenRoutingApplied(
+        revision,
+        ORDER_APPLY_TIMEOUT_NANOS,
+        confirmed -> {
+          if (!confirmed) {
+            LOG.warn("order-unconfirmed", "revision", revision, "by", feed.entriesBehind(revision));
+          }
+          task.run();
         });
   }
 
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -392,12 +392,15 @@
     if (received.getRevision() <= routingState.getRevision()) {
       return;
     }
-    if (received.getDocument().getVersion() != routeTable.version()) {
-      routeTable = new RouteTable(received.getDocument(), random.nextDouble());
-      callerLimits = toCallerLimits(received.getDocument().getLimits());
-    }
-    routingState = received;
+    // Nothing is replaced unless the whole state can be applied.
+    RouteTable table =
+        received.getDocument().getVersion() == routeTable.version()
+            ? routeTable
+            : new RouteTable(received.getDocument(), random.nextDouble());
     dispatcher.configure(received);
+    routeTable = table;
+    callerLimits = toCallerLimits(received.getDocument().getLimits());
+    routingState = received;
     LOG.info(
         "routing-applied",
         "revision",
@@ -491,6 +494,11 @@
       }
     }
 
+    @Override
+    public long appliedRevision() {
+      return routingState.getRevision();
+    }
+
     @Override
     public void onConnectedCountChanged(int replicas) {
       LOG.info("replicas-connected", "instance", settings.instance(), "replicas", replicas);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedClient.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedClient.java
@@ -76,6 +76,9 @@
      */
     void receive(Endpoint replica, ControlFrame frame);
 
+    /** Returns the revision of the applied routing state, or 0 if none is applied. */
+    long appliedRevision();
+
     /** Called when the number of connected replicas has changed. */
     void onConnectedCountChanged(int replicas);
 
@@ -166,6 +169,7 @@
     private long lastReceivedNanos;
     private long nextPulseNanos;
     private long appliedSequence;
+    private long receivedRevision;
 
     ReplicaConnection(Endpoint address) {
       this.address = address;
@@ -194,7 +198,11 @@
       nextPulseNanos = nowNanos + PULSE_INTERVAL_NANOS;
       send(
           EntryFrame.newBuilder()
-              .setPulse(EntryPulse.newBuilder().setAppliedSequence(appliedSequence))
+              .setPulse(
+                  EntryPulse.newBuilder()
+                      .setAppliedSequence(appliedSequence)
+                      .setAppliedRevision(listener.appliedRevision())
+                      .setReceivedRevision(receivedRevision))
               .build());
     }
 
@@ -224,7 +232,12 @@
       lastReceivedNanos = now;
       nextPulseNanos = now + PULSE_INTERVAL_NANOS;
       appliedSequence = 0;
-      send(EntryFrame.newBuilder().setGreeting(greeting).build());
+      receivedRevision = 0;
+      EntryGreeting.Builder current =
+          greeting.toBuilder()
+              .setConfirmsRouting(true)
+              .setAppliedRevision(listener.appliedRevision());
+      send(EntryFrame.newBuilder().setGreeting(current).build());
       LOG.info(
           "replica-connected",
           "replica",
@@ -248,7 +261,7 @@
       lastReceivedNanos = System.nanoTime();
       retryNanos = FIRST_RETRY_NANOS;
       if (!frame.hasPulse()) {
-        listener.receive(address, frame);
+        deliver(this, frame);
         return;
       }
       recordPulse(lastReceivedNanos, frame.getPulse());
@@ -259,6 +272,26 @@
     }
   }
 
+  /** Passes a frame to the listener, and confirms a routing state. */
+  private void deliver(ReplicaConnection from, ControlFrame frame) {
+    long before = listener.appliedRevision();
+    try {
+      listener.receive(from.address, frame);
+    } catch (RuntimeException failure) {
+      // The connection stays open: later frames do not depend on this one.
+      LOG.error(
+          "frame-failed", "replica", from.address, "kind", frame.getKindCase(), "reason", failure);
+    }
+    if (frame.hasRouting()) {
+      from.receivedRevision = Math.max(from.receivedRevision, frame.getRouting().getRevision());
+      // Replicas that know of it do not send the same state.
+      boolean isNew = listener.appliedRevision() > before;
+      connections.values().stream()
+          .filter(each -> isNew || each == from)
+          .forEach(each -> each.sendPulse(from.lastReceivedNanos));
+    }
+  }
+
   private static final class Initializer extends ChannelInitializer<SocketChannel> {
     private final ReplicaConnection connection;
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedServer.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedServer.java
@@ -19,6 +19,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.stream.IntStream;
 import org.waxwingbeam.logging.EventLog;
 import org.waxwingbeam.settings.Endpoint;
@@ -26,6 +27,7 @@
 import org.waxwingbeam.wire.feed.ControlPulse;
 import org.waxwingbeam.wire.feed.EntryFrame;
 import org.waxwingbeam.wire.feed.EntryGreeting;
+import org.waxwingbeam.wire.feed.EntryPulse;
 import org.waxwingbeam.wire.feed.LoadPeers;
 import org.waxwingbeam.wire.feed.TargetRecord;
 import org.waxwingbeam.wire.routing.RoutingState;
@@ -71,6 +73,9 @@
   private static final WriteBufferWaterMark OUTBOUND_BYTES =
       new WriteBufferWaterMark(2 << 20, 4 << 20);
 
+  /** Time after which a routing state is sent again that an entry instance could not apply. */
+  private static final long ROUTING_REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
   private static final EventLog LOG = new EventLog(FeedServer.class);
 
   private final Source source;
@@ -78,6 +83,7 @@
   private final Set<Session> sessions = new LinkedHashSet<>();
   private final List<Waiter> waiters = new ArrayList<>();
   private final Channel serverChannel;
+  private EncodedRouting routing = new EncodedRouting(RoutingState.getDefaultInstance());
   private long sequence;
   private long announcedSequence;
   private long nextPulseNanos = System.nanoTime();
@@ -107,7 +113,8 @@
     void receive(String entry, EntryFrame frame);
   }
 
-  private record Waiter(long sequence, long deadlineNanos, Consumer<Boolean> receiver) {}
+  private record Waiter(
+      Predicate<Session> applied, long deadlineNanos, Consumer<Boolean> receiver) {}
 
   /**
    * Starts listening for entry instances.
@@ -138,9 +145,13 @@
     return ((InetSocketAddress) serverChannel.localAddress()).getPort();
   }
 
-  /** Sends a new routing state to every entry instance. */
+  /**
+   * Sends a new routing state to every entry instance. One that has not received the previous state
+   * yet gets the newest as soon as it has, so that it does not work through outdated states.
+   */
   public void publish(RoutingState state) {
-    sendToAll(ControlFrame.newBuilder().setRouting(state).build());
+    routing = new EncodedRouting(state);
+    sessions.forEach(each -> each.sendRoutingIfNewer(routing));
   }
 
   /** Sends a new target record to every entry instance. */
@@ -214,20 +225,49 @@
    * @param receiver called once, with true if all have applied them, false after the time-out
    */
   public void whenApplied(long timeoutNanos, Consumer<Boolean> receiver) {
-    Waiter waiter = new Waiter(sequence, System.nanoTime() + timeoutNanos, receiver);
-    if (isApplied(waiter)) {
-      receiver.accept(true);
-    } else {
+    long awaited = sequence;
+    boolean waits = await(each -> each.appliedSequence >= awaited, timeoutNanos, receiver);
+    if (waits && announcedSequence < sequence) {
+      // Entry instances confirm a new sequence at once.
+      sendPulseToAll();
+    }
+  }
+
+  /**
+   * Calls a receiver once every connected entry instance has applied a revision of the routing
+   * state.
+   *
+   * @param revision the revision, which must be published now or soon
+   * @param timeoutNanos the longest time to wait
+   * @param receiver called once, with true if all have applied it, false after the time-out
+   */
+  public void whenRoutingApplied(long revision, long timeoutNanos, Consumer<Boolean> receiver) {
+    await(each -> each.hasApplied(revision), timeoutNanos, receiver);
+  }
+
+  /** Returns the names of the entry instances that have not applied a routing state. */
+  public List<String> entriesBehind(long revision) {
+    return sessions.stream()
+        .filter(each -> !each.hasApplied(revision))
+        .map(each -> each.name)
+        .sorted()
+        .toList();
+  }
+
+  /** Calls a receiver at once or later, and returns whether it waits. */
+  private boolean await(Predicate<Session> applied, long timeoutNanos, Consumer<Boolean> receiver) {
+    Waiter waiter = new Waiter(applied, System.nanoTime() + timeoutNanos, receiver);
+    boolean waits = !isApplied(waiter);
+    if (waits) {
       waiters.add(waiter);
-      if (announcedSequence < sequence) {
-        // Entry instances confirm a new sequence at once.
-        sendPulseToAll();
-      }
+    } else {
+      receiver.accept(true);
     }
+    return waits;
   }
 
   private boolean isApplied(Waiter waiter) {
-    return sessions.stream().allMatch(each -> each.appliedSequence >= waiter.sequence());
+    return sessions.stream().allMatch(waiter.applied());
   }
 
   private void completeWaiters(long nowNanos) {
@@ -240,11 +280,12 @@
   }
 
   /**
-   * Completes waiters, sends due pulses, and disconnects entry instances that have been silent too
-   * long.
+   * Completes waiters, sends due pulses, repeats routing states that were not applied, and
+   * disconnects entry instances that have been silent too long.
    */
   public void tick(long nowNanos) {
     completeWaiters(nowNanos);
+    sessions.forEach(each -> each.repeatRoutingIfDue(nowNanos));
     if (nowNanos - nextPulseNanos >= 0) {
       nextPulseNanos = nowNanos + PULSE_INTERVAL_NANOS;
       List.copyOf(sessions).stream()
@@ -265,19 +306,84 @@
     List.copyOf(sessions).forEach(each -> Channels.close(each.channel));
   }
 
+  /** A routing state, encoded once for all entry instances. */
+  private static final class EncodedRouting {
+    private final long revision;
+    private final byte[] frame;
+
+    EncodedRouting(RoutingState state) {
+      revision = state.getRevision();
+      frame = ControlFrame.newBuilder().setRouting(state).build().toByteArray();
+    }
+  }
+
   /** One connected entry instance. */
-  private static final class Session {
+  private final class Session {
     private final Channel channel;
     private final String name;
     private final String loadsAddress;
+    private final boolean confirmsRouting;
     private LoadPeers loadPeers = LoadPeers.getDefaultInstance();
     private long appliedSequence;
+    private long appliedRevision;
+    private long receivedRevision;
+    private long sentRevision;
+    private long routingSentNanos;
     private long lastReceivedNanos = System.nanoTime();
 
     Session(Channel channel, EntryGreeting greeting) {
       this.channel = channel;
       name = greeting.getName();
       loadsAddress = greeting.getLoadsAddress();
+      confirmsRouting = greeting.getConfirmsRouting();
+      appliedRevision = greeting.getAppliedRevision();
+    }
+
+    /** Returns whether a routing state is applied, or the entry instance does not tell. */
+    boolean hasApplied(long revision) {
+      return !confirmsRouting || appliedRevision >= revision;
+    }
+
+    void recordPulse(EntryPulse pulse) {
+      appliedSequence = Math.max(appliedSequence, pulse.getAppliedSequence());
+      appliedRevision = Math.max(appliedRevision, pulse.getAppliedRevision());
+      receivedRevision = Math.max(receivedRevision, pulse.getReceivedRevision());
+    }
+
+    private boolean hasReceived(long revision) {
+      return !confirmsRouting || receivedRevision >= revision;
+    }
+
+    /** Sends a routing state, unless it is known already or an earlier one is still on its way. */
+    void sendRoutingIfNewer(EncodedRouting newest) {
+      boolean isNewer = newest.revision > Math.max(appliedRevision, sentRevision);
+      if (isNewer && hasReceived(sentRevision)) {
+        sendRouting(newest);
+      }
+    }
+
+    private void sendRouting(EncodedRouting newest) {
+      sentRevision = newest.revision;
+      routingSentNanos = System.nanoTime();
+      send(newest.frame);
+    }
+
+    /** Sends the routing state again if the entry instance has received but not applied it. */
+    void repeatRoutingIfDue(long nowNanos) {
+      boolean due = nowNanos - routingSentNanos >= ROUTING_REPEAT_NANOS;
+      if (due && hasReceived(sentRevision) && !hasApplied(sentRevision)) {
+        LOG.warn(
+            "entry-behind",
+            "entry",
+            name,
+            "applied_revision",
+            appliedRevision,
+            "sent_revision",
+            sentRevision,
+            "revision",
+            routing.revision);
+        sendRouting(routing);
+      }
     }
 
     void sendIfChanged(LoadPeers current) {
@@ -325,8 +431,8 @@
       } else {
         session.lastReceivedNanos = System.nanoTime();
         if (frame.hasPulse()) {
-          session.appliedSequence =
-              Math.max(session.appliedSequence, frame.getPulse().getAppliedSequence());
+          session.recordPulse(frame.getPulse());
+          session.sendRoutingIfNewer(routing);
           completeWaiters(session.lastReceivedNanos);
         } else {
           receiver.receive(session.name, frame);
@@ -351,12 +457,14 @@
           greeting.getName(),
           "boot",
           greeting.getBootId(),
+          "applied_revision",
+          greeting.getAppliedRevision(),
           "entries",
           sessions.size());
-      RoutingState state = source.routing();
-      if (state.getRevision() > 0) {
-        session.write(ControlFrame.newBuilder().setRouting(state).build().toByteArray());
+      if (source.routing().getRevision() > routing.revision) {
+        routing = new EncodedRouting(source.routing());
       }
+      session.sendRoutingIfNewer(routing);
       source
           .targets()
           .forEach(
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/control/net/FeedFleetTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/control/net/FeedFleetTest.java
@@ -9,9 +9,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -35,13 +37,17 @@
   private final AtomicInteger loadPeers = new AtomicInteger();
   private final AtomicInteger targets = new AtomicInteger();
   private final AtomicInteger disconnects = new AtomicInteger();
+  private final AtomicInteger routings = new AtomicInteger();
+  private final AtomicInteger failuresLeft = new AtomicInteger();
   private final List<FeedClient> clients = new ArrayList<>();
   private RoutingState routing = RoutingState.getDefaultInstance();
   private FeedServer server;
+  private final List<FeedServer> otherServers = new ArrayList<>();
 
   @AfterEach
   void stop() throws Exception {
     server.close();
+    otherServers.forEach(FeedServer::close);
     clients.forEach(FeedClient::close);
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
   }
@@ -102,15 +108,31 @@
   }
 
   private final class Listener implements FeedClient.Listener {
+    private long appliedRevision;
+
     @Override
     public void receive(Endpoint replica, ControlFrame frame) {
       switch (frame.getKindCase()) {
         case LOAD_PEERS -> loadPeers.incrementAndGet();
         case TARGET -> targets.incrementAndGet();
+        case ROUTING -> apply(frame.getRouting());
         default -> {}
       }
     }
 
+    private void apply(RoutingState state) {
+      routings.incrementAndGet();
+      if (failuresLeft.getAndDecrement() > 0) {
+        throw new IllegalStateException("expected by the test");
+      }
+      appliedRevision = Math.max(appliedRevision, state.getRevision());
+    }
+
+    @Override
+    public long appliedRevision() {
+      return appliedRevision;
+    }
+
     @Override
     public void onConnectedCountChanged(int replicas) {}
 
@@ -177,4 +199,70 @@
     Thread.sleep(SETTLE_MS / 3);
     assertThat(disconnects.get()).isEqualTo(0);
   }
+
+  private static RoutingState state(long revision) {
+    return RoutingState.newBuilder().setRevision(revision).build();
+  }
+
+  private Future<Boolean> publish(List<FeedServer> servers, long... revisions) throws Exception {
+    CompletableFuture<Boolean> applied = new CompletableFuture<>();
+    onLoop(
+        () -> {
+          for (long revision : revisions) {
+            routing = state(revision);
+            servers.forEach(each -> each.publish(routing));
+          }
+          server.whenRoutingApplied(
+              routing.getRevision(), TimeUnit.SECONDS.toNanos(1), applied::complete);
+          return null;
+        });
+    return applied;
+  }
+
+  @Test
+  void entryInstanceThatLagsGetsNoOutdatedStates() throws Exception {
+    start(1);
+    Thread.sleep(SETTLE_MS);
+    routings.set(0);
+
+    long[] revisions = LongStream.rangeClosed(1, 50).toArray();
+    assertThat(publish(List.of(server), revisions).get(2, TimeUnit.SECONDS)).isTrue();
+    assertThat(routings.get()).isEqualTo(2);
+  }
+
+  @Test
+  void stateIsNotSentToEntryInstancesThatKnowIt() throws Exception {
+    start(1);
+    for (int i = 0; i < 4; i++) {
+      FeedServer other =
+          new FeedServer(group, new Endpoint("127.0.0.1", 0), new Source(), (entry, frame) -> {});
+      otherServers.add(other);
+      Endpoint endpoint = new Endpoint("127.0.0.1", other.port());
+      onLoop(
+          () -> {
+            clients.getFirst().addSeeds(List.of(endpoint));
+            return null;
+          });
+    }
+    Thread.sleep(SETTLE_MS);
+    routings.set(0);
+
+    assertThat(publish(List.of(server), 1).get(2, TimeUnit.SECONDS)).isTrue();
+    Thread.sleep(SETTLE_MS / 10);
+    publish(otherServers, 1).get(2, TimeUnit.SECONDS);
+    Thread.sleep(SETTLE_MS / 10);
+    assertThat(routings.get()).isEqualTo(1);
+  }
+
+  @Test
+  void stateThatCouldNotBeAppliedIsRepeatedOnTheSameConnection() throws Exception {
+    start(1);
+    Thread.sleep(SETTLE_MS);
+    failuresLeft.set(1);
+
+    Future<Boolean> applied = publish(List.of(server), 1);
+    assertThat(applied.get(2, TimeUnit.SECONDS)).isFalse();
+    assertThat(publish(List.of(), 1).get(2, TimeUnit.SECONDS)).isTrue();
+    assertThat(disconnects.get()).isEqualTo(0);
+  }
 }
