A request whose caller has left is not sent on

What callers saw: none, as they had left; targets got requests for them. When the event loop is late, a request and the end of its connection wait in the socket together. A read took the request only and sent it at once; the end was noticed in the next pass. And while a pipelined request waited behind another one, the connection was not read at all, so that the request was sent after its caller had left.

A connection is now read until nothing is left, pipelined or not, and every send, also that of a retry, of a hedge or on a new connection, waits until all events that had arrived are handled. A connection that was assigned but not used goes back to its pool.

Open: while a target does not take a body, reading stays paused, and the end behind the unread bytes is not seen.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerConnection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerConnection.java
@@ -48,6 +48,12 @@
   /** Maximum length of an unread request body that is discarded to keep the connection open. */
   private static final long DISCARD_LIMIT_BYTES = 65_536;
 
+  /**
+   * Parts of pipelined requests that are read while a request is active. Reading goes on so that
+   * the end of the connection is noticed.
+   */
+  private static final int MAX_PENDING_PARTS = 16;
+
   private final ExchangeContext context;
   private final Supplier<EntrySettings.CallerLimits> limits;
   private final BooleanSupplier closesAfterResponse;
@@ -100,6 +106,11 @@
     return exchanges;
   }
 
+  /** Returns whether the caller's connection is open, as far as is known. */
+  boolean isConnected() {
+    return channel.isActive();
+  }
+
   boolean isWritable() {
     // Writes to a closed channel are dropped at once and need no back-pressure.
     return !channel.isActive() || channel.isWritable();
@@ -294,7 +305,8 @@
   }
 
   private void updateReading() {
-    channel.config().setAutoRead(closing || (exchangeWantsBody && pending.isEmpty()));
+    boolean hasRoom = pending.size() < MAX_PENDING_PARTS;
+    channel.config().setAutoRead(closing || (exchangeWantsBody && hasRoom));
   }
 
   /** Writes the head of a target's response, with the version in which the caller is answered. */
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerServer.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/CallerServer.java
@@ -1,11 +1,13 @@
 package org.waxwingbeam.caller.net;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -33,6 +35,9 @@
 public final class CallerServer implements AutoCloseable {
   private static final int BACKLOG = 1_024;
 
+  /** Socket reads of one connection before others get their turn. */
+  private static final int MAX_READS = 16;
+
   private final ExchangeContext context;
   private final Supplier<EntrySettings.CallerLimits> limits;
   private volatile boolean closesAfterResponse;
@@ -62,12 +67,23 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, readUntilEmpty())
             .childHandler(new PipelineInitializer())
             .bind(endpoint.socketAddress())
             .syncUninterruptibly()
             .channel();
   }
 
+  /**
+   * Returns an allocator with which a read ends only once nothing is left, so that the end of a
+   * connection is noticed together with the request before it.
+   */
+  private static RecvByteBufAllocator readUntilEmpty() {
+    return new AdaptiveRecvByteBufAllocator()
+        .respectMaybeMoreData(false)
+        .maxMessagesPerRead(MAX_READS);
+  }
+
   /** Returns the address on which the server listens. */
   public Endpoint endpoint() {
     InetSocketAddress address = (InetSocketAddress) listener.localAddress();
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -312,8 +312,22 @@
     }
   }
 
+  /**
+   * Sends the request after all events that have already arrived, among which may be the end of the
+   * caller's connection.
+   */
   @Override
   public void onConnected(TargetAttempt attempt) {
+    loop.execute(() -> sendIfWanted(attempt));
+  }
+
+  private void sendIfWanted(TargetAttempt attempt) {
+    if (active.contains(attempt) && caller.isConnected()) {
+      send(attempt);
+    }
+  }
+
+  private void send(TargetAttempt attempt) {
     if (timeouts.headTimeLeftNanos(context.clock().getAsLong()) <= 0) {
       onDeadline();
       return;
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/TargetAttempt.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/TargetAttempt.java
@@ -30,7 +30,10 @@
     /** The dispatcher refused to assign a target. */
     void onNoTarget(TargetAttempt attempt, Decision.Refused refused);
 
-    /** A connection to the target is available; the listener calls {@link TargetAttempt#send}. */
+    /**
+     * A connection to the target is available; the listener calls {@link TargetAttempt#send}, now
+     * or later.
+     */
     void onConnected(TargetAttempt attempt);
 
     /**
@@ -175,7 +178,8 @@
 
   /** Returns whether any byte of the request has been written to the target. */
   boolean hasWrittenBytes() {
-    return connection != null && connection.hasWrittenBytes();
+    // Before the request is sent, the connection still tells of the previous exchange.
+    return sending && connection.hasWrittenBytes();
   }
 
   /** Returns when the request was sent, by the entry instance's monotonic clock. */
@@ -237,10 +241,16 @@
       context.dispatcher().cancel(request.attemptId());
       return;
     }
-    if (connection != null) {
+    releaseConnection();
+    reportCompletion(cancelOutcome);
+  }
+
+  private void releaseConnection() {
+    if (sending) {
       connection.abort();
+    } else if (connection != null) {
+      context.connections().release(connection);
     }
-    reportCompletion(cancelOutcome);
   }
 
   private boolean isWaitingForTarget() {
