A disk that refuses writes suspends the replica instead of ending its process

A failed write is removed by the next one, which stores everything since the last success; a replacement of the file is switched to only once the newest name is that of the new file. Until a write succeeds, the replica steps down, drops the messages that depend on it and handles none. A failed compaction is no failure of the replica.

ReplicaRunTest gets full disks among its random faults, JournalTest failures at each of 60 operations; writes to the simulated disk fail after half of their bytes.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ControlDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ControlDaemon.java
@@ -14,6 +14,7 @@
 import org.waxwingbeam.control.EntrySessions;
 import org.waxwingbeam.control.net.EntryStreamServer;
 import org.waxwingbeam.daemon.FailingDaemon;
+import org.waxwingbeam.daemon.JournalOpener;
 import org.waxwingbeam.daemon.TokenFile;
 import org.waxwingbeam.logging.EventLog;
 import org.waxwingbeam.metrics.ControlMetrics;
@@ -21,7 +22,6 @@
 import org.waxwingbeam.operator.OperatorService;
 import org.waxwingbeam.operator.net.OperatorServer;
 import org.waxwingbeam.replica.ClaimStateMachine;
-import org.waxwingbeam.replica.DiskFolder;
 import org.waxwingbeam.replica.Journal;
 import org.waxwingbeam.replica.Replica;
 import org.waxwingbeam.replica.ReplicatedState;
@@ -145,7 +145,7 @@
     Tokens tokens =
         new Tokens(
             TokenFile.read(settings.tokenFile()), TokenFile.read(settings.operatorTokenFile()));
-    Journal journal = Journal.open(DiskFolder.open(settings.dataFolder()), ControlDaemon::newId);
+    Journal journal = JournalOpener.open(settings.dataFolder(), ControlDaemon::newId);
     ControlDaemon daemon = new ControlDaemon(settings, claims, journal, tokens);
     daemon.runner.start();
     daemon.scheduleMoveTicks();
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
@@ -12,10 +12,10 @@
 import java.util.stream.Stream;
 import org.waxwingbeam.control.ClaimTable;
 import org.waxwingbeam.control.net.FeedServer;
+import org.waxwingbeam.daemon.JournalOpener;
 import org.waxwingbeam.logging.EventLog;
 import org.waxwingbeam.model.InstanceName;
 import org.waxwingbeam.replica.CommandResult;
-import org.waxwingbeam.replica.DiskFolder;
 import org.waxwingbeam.replica.Journal;
 import org.waxwingbeam.replica.ProposalOutcome;
 import org.waxwingbeam.replica.Replica;
@@ -146,12 +146,12 @@
    *
    * @param group one event loop, which runs the whole replica
    * @param settings the replica's settings
-   * @param onFailure called once if the disk fails; the replica has stopped by then
+   * @param onFailure called once if the replica's timer stops after an unexpected exception
    * @throws IOException if the data folder cannot be used or its journal is damaged
    */
   public static RoutedControl start(EventLoopGroup group, Settings settings, Runnable onFailure)
       throws IOException {
-    Journal journal = Journal.open(DiskFolder.open(settings.dataFolder()), RoutedControl::newId);
+    Journal journal = JournalOpener.open(settings.dataFolder(), RoutedControl::newId);
     RoutedControl control = new RoutedControl(group, settings, journal, onFailure);
     control.runner.start();
     LOG.info(
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/DiskFolder.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/DiskFolder.java
@@ -21,6 +21,10 @@
 public final class DiskFolder implements ReplicaFolder {
   private static final String LOCK_NAME = "lock";
 
+  /** The operating system's texts; Java does not tell the error number. */
+  private static final List<String> OUT_OF_SPACE =
+      List.of("No space left on device", "Disk quota exceeded", "File too large");
+
   private final Path folder;
   private final FileChannel lockChannel;
 
@@ -56,6 +60,12 @@
     }
   }
 
+  /** Returns whether an operation has failed because the disk or a quota has no room left. */
+  public static boolean isOutOfSpace(IOException failure) {
+    String message = String.valueOf(failure.getMessage());
+    return OUT_OF_SPACE.stream().anyMatch(message::contains);
+  }
+
   @Override
   public List<String> list() throws IOException {
     try (Stream<Path> files = Files.list(folder)) {
@@ -118,6 +128,11 @@
       }
     }
 
+    @Override
+    public void truncate(long length) throws IOException {
+      channel.truncate(length);
+    }
+
     @Override
     public void sync() throws IOException {
       channel.force(false);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/DurableLog.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/DurableLog.java
@@ -1,6 +1,7 @@
 package org.waxwingbeam.replica;
 
 import java.io.IOException;
+import java.util.Optional;
 import org.waxwingbeam.wire.replica.Command;
 import org.waxwingbeam.wire.replica.JournalBase;
 import org.waxwingbeam.wire.replica.JournalBatch;
@@ -15,6 +16,7 @@
   private String votedFor;
   private boolean termUnsynced;
   private long snapshotIndex;
+  private Optional<LogSnapshot> unsyncedSnapshot = Optional.empty();
 
   /** Creates the log from an open journal and the contents that the caller has taken from it. */
   DurableLog(Journal journal, Journal.Recovered recovered) {
@@ -65,16 +67,20 @@
 
   /** Returns whether anything has changed since the last sync. */
   boolean isUnsynced() {
-    return termUnsynced || log.syncedIndex() < log.lastIndex();
+    return termUnsynced || unsyncedSnapshot.isPresent() || log.syncedIndex() < log.lastIndex();
   }
 
   /**
    * Makes all changes since the last sync durable, in one write.
    *
    * @param commitIndex index of the last entry that is known to be committed
+   * @throws IOException if they may not be durable; a later call tries again
    */
   void sync(long commitIndex) throws IOException {
-    if (isUnsynced()) {
+    if (unsyncedSnapshot.isPresent()) {
+      rewriteJournal(unsyncedSnapshot.get());
+      unsyncedSnapshot = Optional.empty();
+    } else if (isUnsynced()) {
       journal.append(batch(log.syncedIndex() + 1, commitIndex));
       termUnsynced = false;
       log.markSynced();
@@ -90,10 +96,10 @@
         .build();
   }
 
-  /** Replaces the whole log by a snapshot from the leader. */
-  void installSnapshot(LogSnapshot snapshot) throws IOException {
+  /** Replaces the whole log by a snapshot from the leader; {@link #sync} makes it durable. */
+  void installSnapshot(LogSnapshot snapshot) {
     reset(snapshot);
-    rewriteJournal(snapshot);
+    unsyncedSnapshot = Optional.of(snapshot);
   }
 
   /** Returns whether the journal has grown enough since the last snapshot to be compacted. */
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Journal.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Journal.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Supplier;
 import org.waxwingbeam.wire.replica.JournalBase;
 import org.waxwingbeam.wire.replica.JournalBatch;
@@ -36,6 +37,9 @@
   private Recovered recovered;
   private long generation;
   private ReplicaFolder.AppendFile file;
+  private long durableBytes;
+  private boolean hasFailedWrite;
+  private boolean isNameUnsynced;
   private long baseBytes;
   private long batchBytes;
 
@@ -85,7 +89,7 @@
     return journal;
   }
 
-  /** Deletes the files that an interrupted {@link #rewrite} has left, and no others. */
+  /** Deletes the files that a {@link #rewrite} replaces or has left, and no others. */
   private void deleteLeftovers() throws IOException {
     for (String name : folder.list()) {
       boolean isJournalFile = name.startsWith(PREFIX) || name.equals(TEMPORARY);
@@ -117,6 +121,7 @@
     folder.sync();
     journal.baseBytes = RecordFormat.encode(contents.records().get(1)).length;
     journal.batchBytes = contents.end() - journal.baseBytes;
+    journal.durableBytes = contents.end();
     return journal;
   }
 
@@ -181,19 +186,36 @@
   /**
    * Appends a batch, which is durable when the call returns.
    *
-   * @throws IOException if the batch may not be durable; the replica must stop
+   * @throws IOException if the batch may not be durable. The next call removes what was written of
+   *     it, so it must contain everything that this one should have stored.
    */
   public void append(JournalBatch batch) throws IOException {
+    repair();
     byte[] bytes = RecordFormat.encode(JournalRecord.newBuilder().setBatch(batch).build());
+    hasFailedWrite = true;
     file.write(bytes);
     file.sync();
+    hasFailedWrite = false;
+    durableBytes += bytes.length;
     batchBytes += bytes.length;
   }
 
+  /** Restores the state after the last successful operation. */
+  private void repair() throws IOException {
+    if (isNameUnsynced) {
+      folder.sync();
+      isNameUnsynced = false;
+    }
+    if (hasFailedWrite) {
+      file.truncate(durableBytes);
+    }
+  }
+
   /**
    * Replaces the journal file by one with a newer base, which is durable when the call returns.
    *
-   * @throws IOException if the new file may not be durable; the replica must stop
+   * @throws IOException if the new file may not be durable. The journal then goes on with one of
+   *     the two files.
    */
   public void rewrite(JournalBase base) throws IOException {
     JournalHeader header =
@@ -201,31 +223,56 @@
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     bytes.writeBytes(RecordFormat.encode(JournalRecord.newBuilder().setHeader(header).build()));
     bytes.writeBytes(RecordFormat.encode(JournalRecord.newBuilder().setBase(base).build()));
-    final String before = fileName();
-    if (file != null) {
-      file.close();
-    }
     replaceBy(bytes.toByteArray());
-    if (folder.list().contains(before)) {
-      folder.delete(before);
-    }
+    deleteLeftovers();
   }
 
   private void replaceBy(byte[] bytes) throws IOException {
     if (folder.list().contains(TEMPORARY)) {
       folder.delete(TEMPORARY);
     }
-    file = folder.openForAppend(TEMPORARY);
-    file.write(bytes);
-    file.sync();
+    ReplicaFolder.AppendFile replacement = folder.openForAppend(TEMPORARY);
+    try {
+      replacement.write(bytes);
+      replacement.sync();
+      folder.rename(TEMPORARY, fileName(generation + 1));
+    } finally {
+      // The newest name is the one that the next start loads.
+      if (folder.list().contains(fileName(generation + 1))) {
+        switchTo(replacement, bytes.length);
+      } else {
+        discard(replacement);
+      }
+    }
+    repair();
+  }
+
+  private void discard(ReplicaFolder.AppendFile replacement) throws IOException {
+    replacement.close();
+    if (folder.list().contains(TEMPORARY)) {
+      folder.delete(TEMPORARY);
+    }
+  }
+
+  private void switchTo(ReplicaFolder.AppendFile replacement, int length) throws IOException {
+    final Optional<ReplicaFolder.AppendFile> previous = Optional.ofNullable(file);
+    file = replacement;
     generation++;
-    folder.rename(TEMPORARY, fileName());
-    folder.sync();
-    baseBytes = bytes.length;
+    isNameUnsynced = true;
+    hasFailedWrite = false;
+    durableBytes = length;
+    baseBytes = length;
     batchBytes = 0;
+    if (previous.isPresent()) {
+      previous.get().close();
+    }
   }
 
   private String fileName() {
+    return fileName(generation);
+  }
+
+  private static String fileName(long generation) {
     return PREFIX + "%012d".formatted(generation);
   }
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaFolder.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaFolder.java
@@ -41,6 +41,9 @@
     /** Writes bytes at the end of the file. */
     void write(byte[] bytes) throws IOException;
 
+    /** Truncates the file to a length in bytes; the next write appends there. */
+    void truncate(long length) throws IOException;
+
     /** Makes all bytes written so far durable. */
     void sync() throws IOException;
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaRole.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaRole.java
@@ -14,6 +14,6 @@
   LEADER,
   /** Stores the log and has no vote. */
   LEARNER,
-  /** Its disk has failed; it handles no messages any more. */
-  FAILED
+  /** Its disk refuses writes; it handles no messages until a write has succeeded. */
+  SUSPENDED
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaTimings.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaTimings.java
@@ -45,5 +45,11 @@
   /** Time without a reply after which a snapshot is sent again. */
   static final long SNAPSHOT_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
 
+  /** Time after which a write that has failed is tried again. */
+  static final long WRITE_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+  /** Time after which a compaction of the log that has failed is tried again. */
+  static final long COMPACTION_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
+
   private ReplicaTimings() {}
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaRunner.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaRunner.java
@@ -43,7 +43,6 @@
   private final ReplicaConnections connections;
   private final Set<Endpoint> addedAddresses = new HashSet<>();
   private boolean flushScheduled;
-  private boolean failureReported;
   private boolean wasUninitialized = true;
   private boolean couldJoin = true;
   private long notifiedTerm;
@@ -102,10 +101,7 @@
     /** Called at the end of each tick. */
     void onTick(long nowNanos);
 
-    /**
-     * Called once when the disk has failed or the timer has stopped; the replica must not be used
-     * any more.
-     */
+    /** Called once when the timer has stopped; the replica must not be used any more. */
     void onFailure(IOException reason);
   }
 
@@ -237,18 +233,7 @@
 
   private void flush() {
     flushScheduled = false;
-    if (failureReported) {
-      return;
-    }
-    long now = System.nanoTime();
-    try {
-      replica.flush(now).forEach(connections::send);
-    } catch (IOException failed) {
-      // The disk may have failed earlier, while a message was received.
-      failureReported = true;
-      listener.onFailure(failed);
-      return;
-    }
+    replica.flush(System.nanoTime()).forEach(connections::send);
     notifyIfLeading(System.nanoTime());
     if (replica.appliedIndex() > notifiedIndex) {
       notifiedIndex = replica.appliedIndex();
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/testing/replica/ReplicaFaults.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/testing/replica/ReplicaFaults.java
@@ -12,10 +12,11 @@
 import org.waxwingbeam.wire.replica.Membership;
 import org.waxwingbeam.wire.replica.ReplicaMember;
 
-/** Injects random faults: crashed, frozen and isolated replicas, and failed or lost disks. */
+/** Injects random faults: crashed, frozen and isolated replicas, full, failed and lost disks. */
 final class ReplicaFaults {
   private static final int MEAN_FAULT_INTERVAL_MS = 1_500;
   private static final int MAX_ISOLATION_MS = 6_000;
+  private static final int MAX_DISK_FULL_MS = 4_000;
   private static final int MAX_FREEZE_MS = 5_000;
   private static final int MAX_DOWN_MS = 3_000;
   private static final int CRASH_PERCENT_OF_OPERATIONS = 2;
@@ -57,12 +58,13 @@
   private void injectFault(long nowMs, Optional<SimulatedReplica> leader) {
     SimulatedReplica victim =
         leader.filter(each -> random.nextInt(3) == 0).orElseGet(this::anyReplica);
-    switch (random.nextInt(6)) {
+    switch (random.nextInt(7)) {
       case 0 -> victim.crash(nowMs, random.nextInt(MAX_DOWN_MS));
       case 1 -> victim.freeze(nowMs + random.nextInt(MAX_FREEZE_MS));
       case 2 -> isolate(nowMs, victim, true, true);
       case 3 -> isolate(nowMs, victim, random.nextBoolean(), random.nextBoolean());
       case 4 -> toggleCrashesAtDiskOperations(victim);
+      case 5 -> victim.fillDisk(nowMs + random.nextInt(MAX_DISK_FULL_MS));
       default -> loseDisk(nowMs, victim, leader);
     }
   }
@@ -154,5 +156,6 @@
     network.setReliable(true);
     replicas.forEach(each -> each.setCrashPercentOfOperations(0));
     replicas.forEach(each -> each.freeze(nowMs));
+    replicas.forEach(each -> each.fillDisk(nowMs));
   }
 }
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/testing/replica/SimulatedFolder.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/testing/replica/SimulatedFolder.java
@@ -182,10 +182,22 @@
 
     @Override
     public void write(byte[] bytes) throws IOException {
-      faults.beforeOperation();
+      try {
+        faults.beforeOperation();
+      } catch (IOException failure) {
+        // A write to a full disk stores as much as there is room for.
+        content.writtenBytes.write(bytes, 0, bytes.length / 2);
+        throw failure;
+      }
       content.writtenBytes.writeBytes(bytes);
     }
 
+    @Override
+    public void truncate(long length) throws IOException {
+      faults.beforeOperation();
+      content.setBytes(java.util.Arrays.copyOf(content.bytes(), (int) length));
+    }
+
     @Override
     public void sync() throws IOException {
       faults.beforeOperation();
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/testing/replica/SimulatedReplica.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/testing/replica/SimulatedReplica.java
@@ -30,6 +30,8 @@
   private int crashPercentOfOperations;
   private boolean diskFails;
   private long diskReplacementMs;
+  private boolean diskFull;
+  private long diskFullUntilMs;
   private long frozenUntilMs;
   private long restartMs;
   private int crashes;
@@ -45,7 +47,7 @@
   }
 
   private void beforeDiskOperation() throws IOException {
-    if (diskFails) {
+    if (diskFails || diskFull) {
       throw new IOException("no space left");
     }
     if (crashPercentOfOperations > 0 && random.nextInt(100) < crashPercentOfOperations) {
@@ -93,6 +95,11 @@
     diskReplacementMs = replacementMs;
   }
 
+  /** Makes every disk operation fail for some time. */
+  void fillDisk(long untilMs) {
+    diskFullUntilMs = untilMs;
+  }
+
   void freeze(long untilMs) {
     frozenUntilMs = untilMs;
   }
@@ -124,6 +131,7 @@
     if (nowMs < frozenUntilMs) {
       return List.of();
     }
+    diskFull = nowMs < diskFullUntilMs;
     if (diskFails && nowMs >= diskReplacementMs) {
       loseDisk(nowMs, 0);
     }
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/JournalTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/JournalTest.java
@@ -111,6 +111,62 @@
     assertThat(folder.list()).containsExactly("journal-000000000002", "token");
   }
 
+  @Test
+  void batchesAfterFailedOperationsAreKept() throws IOException {
+    for (int failAt = 0; failAt < 60; failAt++) {
+      checkFailureFrom(failAt, 1);
+      checkFailureFrom(failAt, 3);
+    }
+  }
+
+  /** Lets some operations in a row fail, and repeats each batch until it is stored. */
+  private static void checkFailureFrom(int failAt, int failures) throws IOException {
+    int[] operations = {0};
+    boolean[] failing = {true};
+    SimulatedFolder each =
+        new SimulatedFolder(
+            () -> {
+              int operation = operations[0]++;
+              if (failing[0] && operation >= failAt && operation < failAt + failures) {
+                throw new IOException("no space left");
+              }
+            });
+    failing[0] = false;
+    Journal journal = Journal.open(each, () -> "replica-a");
+    failing[0] = true;
+    operations[0] = 0;
+    for (int index = 1; index <= 6; index++) {
+      JournalBatch batch = batch(index);
+      repeat(() -> journal.append(batch));
+      if (index % 3 == 0) {
+        JournalBase base = base(index);
+        repeat(() -> journal.rewrite(base));
+      }
+    }
+    failing[0] = false;
+    // All that was reported as stored is durable.
+    each.crash(new SplittableRandom(failAt));
+    Journal.Recovered recovered = Journal.open(each, () -> "replica-a").takeRecovered();
+    assertThat(recovered.snapshot().getIndex()).isEqualTo(6);
+    assertThat(recovered.term()).isEqualTo(6);
+  }
+
+  private interface Write {
+    void run() throws IOException;
+  }
+
+  private static void repeat(Write write) {
+    boolean stored = false;
+    while (!stored) {
+      try {
+        write.run();
+        stored = true;
+      } catch (IOException full) {
+        assertThat(full).hasMessageThat().isEqualTo("no space left");
+      }
+    }
+  }
+
   @Test
   void crashAtAnyOperationKeepsSyncedBatches() throws IOException {
     for (int crashAt = 0; crashAt < 40; crashAt++) {
