A read of the configuration is confirmed by a majority, not by the leader's clock

A machine that is suspended goes on with a steady clock that has not counted the time. A leader that is suspended for seconds therefore still holds its lease when it wakes, although another one leads and has accepted changes, and would answer a read that waited in its socket with the older configuration (CONFIG: "came back older").

A confirmation counts only replies to messages that were sent after the read. Operators' reads of configurations and rollouts wait for it, one round trip; orders always needed a majority.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/ReadOutcome.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/ReadOutcome.java
@@ -19,7 +19,7 @@
   record Current(RoutingState state, ByteString source) implements ReadOutcome {}
 
   /**
-   * This replica does not hold the leader's lease and may lack committed changes.
+   * No majority has confirmed that this replica leads; it may lack committed changes.
    *
    * @param leaderHost the host of the leader, if known
    */
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
@@ -273,12 +273,21 @@
     return runner.leaderAddress().map(Endpoint::host);
   }
 
-  /** Returns the routing state if this replica holds the leader's lease. */
-  public ReadOutcome readState() {
-    return runner.holdsLeaderLease(System.nanoTime())
-        ? new ReadOutcome.Current(
-            replicatedState.routing().state(), replicatedState.routing().documentSource())
-        : new ReadOutcome.NotLeader(leaderHost());
+  /**
+   * Reads the routing state, which is that of the leader. A majority of the replicas confirms that
+   * this one still leads, so that no older state is returned.
+   *
+   * @param receiver called once with the outcome
+   */
+  public void readState(Consumer<ReadOutcome> receiver) {
+    runner.confirmLeadership(
+        leads ->
+            receiver.accept(
+                leads
+                    ? new ReadOutcome.Current(
+                        replicatedState.routing().state(),
+                        replicatedState.routing().documentSource())
+                    : new ReadOutcome.NotLeader(leaderHost())));
   }
 
   private void receiveFrame(String entry, EntryFrame frame) {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/LeaderState.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/LeaderState.java
@@ -136,6 +136,17 @@
                 SnapshotRequest.newBuilder().setSnapshot(snapshots.take()).setSentNanos(nowNanos)));
   }
 
+  /** Makes the next call of {@link #replicate} send heartbeats to all replicas. */
+  void requestHeartbeats(long nowNanos) {
+    nextHeartbeatNanos = nowNanos;
+  }
+
+  /** Returns whether a majority has replied to requests that were sent at a time or later. */
+  boolean isConfirmedSince(long nanos) {
+    return countVoters(each -> each.hasReplied() && each.acknowledgedSendNanos() - nanos >= 0)
+        >= Memberships.majority(log.membership());
+  }
+
   /** Records a replica's reply to an append or snapshot request. */
   void recordReply(long nowNanos, String from, AppendReply reply) {
     Optional.ofNullable(progress.get(from))
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Replica.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Replica.java
@@ -48,6 +48,7 @@
   private final ReplicaElection election;
   private final ElectionTimer timer;
   private final PendingProposals proposals = new PendingProposals();
+  private final PendingConfirmations confirmations = new PendingConfirmations();
   private List<ReplicaMessage> outgoing = new ArrayList<>();
   private Optional<LeaderState> leaderState = Optional.empty();
   private Optional<String> leaderId = Optional.empty();
@@ -164,6 +165,22 @@
         .isPresent();
   }
 
+  /**
+   * Asks a majority of the voters whether this replica still leads. When that is confirmed, all
+   * changes have been applied that were accepted anywhere before this call.
+   *
+   * @param nowNanos the current time
+   * @param receiver called once with whether it leads
+   */
+  public void confirmLeadership(long nowNanos, Consumer<Boolean> receiver) {
+    if (leaderState.isEmpty()) {
+      receiver.accept(false);
+      return;
+    }
+    confirmations.add(nowNanos, receiver);
+    leaderState.get().requestHeartbeats(nowNanos);
+  }
+
   /**
    * Handles a message from another replica. A message to another id is ignored.
    *
@@ -207,6 +224,7 @@
     leaderId = leader;
     leaderState = Optional.empty();
     proposals.abandon();
+    confirmations.deny();
   }
 
   private void handleVoteRequest(long nowNanos, ReplicaMessage message) {
@@ -371,6 +389,9 @@
       return List.of();
     }
     resume(nowNanos);
+    leaderState
+        .filter(each -> appliedIndex >= each.startIndex())
+        .ifPresent(each -> confirmations.confirm(each::isConfirmedSince));
     leaderState.ifPresent(each -> each.replicate(nowNanos));
     compactIfDue(nowNanos);
     List<ReplicaMessage> released = outgoing;
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaRunner.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaRunner.java
@@ -254,6 +254,12 @@
     scheduleFlush();
   }
 
+  /** See {@link Replica#confirmLeadership}; must be called on the event loop. */
+  public void confirmLeadership(Consumer<Boolean> receiver) {
+    replica.confirmLeadership(System.nanoTime(), receiver);
+    scheduleFlush();
+  }
+
   /** Replaces a voter by a learner; must be called on the event loop. */
   public void replace(String oldId, String newId, Consumer<ProposalOutcome> receiver) {
     membershipCoordinator.replace(System.nanoTime(), oldId, newId, receiver);
