--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -7,7 +7,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.waxwingbeam.caller.PoisonRequestDetector;
-import org.waxwingbeam.caller.RouteTable;
 import org.waxwingbeam.caller.ShutdownWindow;
 import org.waxwingbeam.caller.SlidingWindowBudget;
 import org.waxwingbeam.caller.net.CallerServer;
@@ -27,7 +26,6 @@
 import org.waxwingbeam.model.TargetId;
 import org.waxwingbeam.peer.net.LoadExchange;
 import org.waxwingbeam.settings.Endpoint;
-import org.waxwingbeam.settings.EntrySettings;
 import org.waxwingbeam.target.LoadReport;
 import org.waxwingbeam.target.TargetDirectory;
 import org.waxwingbeam.target.TargetRecordValidator;
@@ -42,8 +40,6 @@
 import org.waxwingbeam.wire.feed.EntryGreeting;
 import org.waxwingbeam.wire.feed.LoadBatch;
 import org.waxwingbeam.wire.feed.TargetRecord;
-import org.waxwingbeam.wire.routing.CallerLimits;
-import org.waxwingbeam.wire.routing.RoutingState;
 
 /**
  * Runs an entry instance for routed services: routes callers' requests by the routing document in
@@ -96,16 +92,6 @@
   /** Targets that must have crashed under a request before it is refused as poison. */
   private static final int CRASH_LIMIT = 3;
 
-  /** Limits until the first routing document arrives, and for values that it leaves unset. */
-  private static final EntrySettings.CallerLimits DEFAULT_CALLER_LIMITS =
-      new EntrySettings.CallerLimits(16_384, 3_000, 15_000);
-
-  /**
-   * Added to the configured idle timeout, so that a caller that reuses its connection within the
-   * timeout never finds it closed.
-   */
-  private static final long KEEP_ALIVE_MARGIN_MS = 1_000;
-
   private final Settings settings;
   private final EventLoopGroup group;
   private final PrometheusRegistry metrics = new PrometheusRegistry();
@@ -123,9 +109,7 @@
   private final RepeatingTask statusChecks =
       new RepeatingTask("status-checks", this::sendDueProbes);
   private final CallerServer callerServer;
-  private RoutingState routingState = RoutingState.getDefaultInstance();
-  private RouteTable routeTable = new RouteTable();
-  private EntrySettings.CallerLimits callerLimits = DEFAULT_CALLER_LIMITS;
+  private final AppliedRouting routing;
   private final ShutdownWindow shutdownWindow = new ShutdownWindow();
   private boolean reportsReachAll = true;
   private volatile boolean draining;
@@ -172,6 +156,7 @@
                 new LoadReportSender(),
                 settings.checksPerSecond(),
                 new StoppedMoves()));
+    routing = new AppliedRouting(dispatcher::configure, random);
     sharedDispatcher = new SharedDispatcher(dispatcher, System::nanoTime);
     loadExchange = LoadExchange.start(group, settings.loadReportAddress(), this::applyLoads);
     loadPeers = new LoadPeerLists();
@@ -191,7 +176,7 @@
         new ExchangeContext(
             sharedDispatcher,
             connections,
-            (method, host, uri) -> routeTable.classify(method, host, uri),
+            routing,
             protocols,
             (maxDurationNanos, idempotent) ->
                 Optional.of(ErrorKind.SHUTTING_DOWN)
@@ -210,7 +195,8 @@
             entryMetrics,
             random,
             System::nanoTime);
-    callerServer = new CallerServer(group, settings.callerAddress(), () -> callerLimits, context);
+    callerServer =
+        new CallerServer(group, settings.callerAddress(), routing::callerLimits, context);
   }
 
   /**
@@ -313,13 +299,13 @@
     if (draining) {
       return Optional.of(ErrorKind.SHUTTING_DOWN);
     }
-    return routeTable.version() == 0 || !hasReadyTarget()
+    return routing.version() == 0 || !hasReadyTarget()
         ? Optional.of(ErrorKind.ISOLATED)
         : Optional.empty();
   }
 
   private boolean hasReadyTarget() {
-    return routingState.getDocument().getServicesList().stream()
+    return routing.state().getDocument().getServicesList().stream()
         .anyMatch(each -> dispatcher.readyTargetCount(each.getName()) > 0);
   }
 
@@ -388,45 +374,6 @@
     loadExchange.close();
   }
 
-  private void applyRouting(RoutingState received) {
-    if (received.getRevision() <= routingState.getRevision()) {
-      return;
-    }
-    // Nothing is replaced unless the whole state can be applied.
-    RouteTable table =
-        received.getDocument().getVersion() == routeTable.version()
-            ? routeTable
-            : new RouteTable(received.getDocument(), random.nextDouble());
-    dispatcher.configure(received);
-    routeTable = table;
-    callerLimits = toCallerLimits(received.getDocument().getLimits());
-    routingState = received;
-    LOG.info(
-        "routing-applied",
-        "revision",
-        received.getRevision(),
-        "document",
-        received.getDocument().getVersion(),
-        "data_centres_out",
-        received.getDataCentresOutList(),
-        "moves",
-        received.getMovesCount());
-  }
-
-  private static EntrySettings.CallerLimits toCallerLimits(CallerLimits document) {
-    return new EntrySettings.CallerLimits(
-        document.getHeaderBytes() > 0
-            ? document.getHeaderBytes()
-            : DEFAULT_CALLER_LIMITS.headerBytes(),
-        document.getHeaderTimeoutMs() > 0
-            ? document.getHeaderTimeoutMs()
-            : DEFAULT_CALLER_LIMITS.headerTimeoutMs(),
-        (document.getIdleTimeoutMs() > 0
-                ? document.getIdleTimeoutMs()
-                : DEFAULT_CALLER_LIMITS.keepAliveIdleMs())
-            + KEEP_ALIVE_MARGIN_MS);
-  }
-
   private void applyTarget(TargetRecord record) {
     Optional<String> fault = TargetRecordValidator.fault(record);
     if (fault.isPresent()) {
@@ -482,7 +429,7 @@
     @Override
     public void receive(Endpoint replica, ControlFrame frame) {
       switch (frame.getKindCase()) {
-        case ROUTING -> applyRouting(frame.getRouting());
+        case ROUTING -> routing.applyIfNewer(frame.getRouting());
         case TARGET -> applyTarget(frame.getTarget());
         case LOAD_PEERS -> {
           loadPeers.put(replica, frame.getLoadPeers());
@@ -496,7 +443,7 @@
 
     @Override
     public long appliedRevision() {
-      return routingState.getRevision();
+      return routing.state().getRevision();
     }
 
     @Override
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/RequestRouter.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/RequestRouter.java
@@ -14,4 +14,7 @@
    * @param uri the request target as received
    */
   Classification classify(String method, String host, String uri);
+
+  /** Returns the version of the configuration by which requests are classified now, 0 if none. */
+  long version();
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/RouteTable.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/RouteTable.java
@@ -72,7 +72,7 @@
                 routes.sort(Comparator.comparingInt((Route each) -> -each.pathPrefix.length())));
   }
 
-  /** Returns the version of the document, or 0 if the table has no document. */
+  @Override
   public long version() {
     return version;
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ClassifierCache.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ClassifierCache.java
@@ -26,6 +26,11 @@
     return currentClassifier().classify(method, host, uri);
   }
 
+  @Override
+  public long version() {
+    return applied.current().number();
+  }
+
   /** Returns the classifier of the currently applied configuration. */
   public RequestClassifier currentClassifier() {
     Configuration configuration = applied.current();
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeRecord.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/ExchangeRecord.java
@@ -14,6 +14,7 @@
   private final String requestId;
   private final ExchangeTimeouts timeouts;
   private final List<RequestLog.AttemptSummary> attempts = new ArrayList<>(2);
+  private final long configuration;
   private OptionalInt targetStatus = OptionalInt.empty();
 
   ExchangeRecord(
@@ -22,6 +23,7 @@
     this.policy = policy;
     this.requestId = requestId;
     this.timeouts = timeouts;
+    configuration = context.router().version();
   }
 
   /** Records the end of an attempt and its reason. */
@@ -53,6 +55,7 @@
             new RequestLog.RequestSummary(
                 requestId,
                 policy,
+                configuration,
                 List.copyOf(attempts),
                 result,
                 targetStatus,
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/RequestLog.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/RequestLog.java
@@ -71,6 +71,7 @@
    *
    * @param requestId the id of the request
    * @param policy how the request was handled
+   * @param configuration the version of the configuration by which it was routed
    * @param attempts the attempts, in the order in which they ended
    * @param result the code of the error kind, or another word for the result
    * @param targetStatus the status of the target's response that was passed on, or empty if none
@@ -81,6 +82,7 @@
   record RequestSummary(
       String requestId,
       RoutePolicy policy,
+      long configuration,
       List<AttemptSummary> attempts,
       String result,
       OptionalInt targetStatus,
@@ -128,6 +130,8 @@
         summary.policy().route(),
         "service",
         summary.policy().service(),
+        "configuration",
+        summary.configuration(),
         "idempotent",
         summary.policy().idempotent(),
         "result",
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/caller/net/RequestLogTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/caller/net/RequestLogTest.java
@@ -73,6 +73,7 @@
 
     assertThat(lines.texts).hasSize(10);
     assertThat(lines.texts.getLast()).contains("result=answered target_status=404");
+    assertThat(lines.texts.getLast()).contains("configuration=42");
   }
 
   private static RequestLog.Refusal refusal(String path) {
@@ -98,7 +99,7 @@
     RequestLog.AttemptSummary attempt =
         new RequestLog.AttemptSummary(Optional.empty(), Optional.empty(), 0, 1, Exchange.ANSWERED);
     return new RequestLog.RequestSummary(
-        "id-1", policy, List.of(attempt), Exchange.ANSWERED, OptionalInt.of(status), 1, 1);
+        "id-1", policy, 42, List.of(attempt), Exchange.ANSWERED, OptionalInt.of(status), 1, 1);
   }
 
   private static final class LineCollector extends Handler {
