--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -124,6 +124,8 @@
    * @param controlAddresses the entry addresses of the first control replicas
    * @param retryLimits the retry budget of each service for the whole fleet
    * @param checksPerSecond status checks that the whole fleet may send to one target per second
+   * @param leaveGraceMs time in which a target that has stated that it leaves still serves requests
+   *     that no other target can serve, in milliseconds
    */
   public record Settings(
       InstanceName instance,
@@ -132,7 +134,8 @@
       Endpoint loadReportAddress,
       List<Endpoint> controlAddresses,
       SlidingWindowBudget.Limits retryLimits,
-      double checksPerSecond) {
+      double checksPerSecond,
+      long leaveGraceMs) {
     /** Copies the list of addresses. */
     public Settings {
       controlAddresses = List.copyOf(controlAddresses);
@@ -155,7 +158,8 @@
                 random,
                 new LoadReportSender(),
                 settings.checksPerSecond(),
-                new StoppedMoves()));
+                new StoppedMoves(),
+                settings.leaveGraceMs() * NANOS_PER_MS));
     routing = new AppliedRouting(dispatcher::configure, random);
     sharedDispatcher = new SharedDispatcher(dispatcher, System::nanoTime);
     loadExchange = LoadExchange.start(group, settings.loadReportAddress(), this::applyLoads);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/Exchange.java
@@ -322,11 +322,25 @@
   }
 
   private void sendIfWanted(TargetAttempt attempt) {
-    if (active.contains(attempt) && caller.isConnected()) {
+    if (!active.contains(attempt) || !caller.isConnected()) {
+      return;
+    }
+    if (attempt.maySend()) {
       send(attempt);
+    } else {
+      replace(attempt);
     }
   }
 
+  /** Requests another target for an attempt of which nothing has been sent. */
+  private void replace(TargetAttempt attempt) {
+    active.remove(attempt);
+    record.onAttemptEnded(attempt, "withdrawn");
+    attempt.cancel(AttemptOutcome.CANCELLED);
+    attempts--;
+    startAttempt();
+  }
+
   private void send(TargetAttempt attempt) {
     if (timeouts.headTimeLeftNanos(context.clock().getAsLong()) <= 0) {
       onDeadline();
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/SharedDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/SharedDispatcher.java
@@ -8,11 +8,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.waxwingbeam.model.TargetId;
 import org.waxwingbeam.target.AttemptOutcome;
 import org.waxwingbeam.target.Completion;
 import org.waxwingbeam.target.Decision;
 import org.waxwingbeam.target.DispatchRequest;
 import org.waxwingbeam.target.Dispatcher;
+import org.waxwingbeam.target.TargetNotice;
 
 /**
  * Shares one dispatcher between the event loops and delivers each deferred decision on the event
@@ -66,6 +68,16 @@
     deliver(dispatcher.complete(clock.getAsLong(), completion));
   }
 
+  /** Applies what a target has stated in a response about further requests. */
+  void applyNotice(TargetId target, Optional<String> instance, TargetNotice notice) {
+    dispatcher.applyNotice(clock.getAsLong(), target, instance, notice);
+  }
+
+  /** Returns whether a request may still be sent to the target that was assigned to it. */
+  boolean maySend(TargetId target, Optional<String> instance) {
+    return dispatcher.maySend(clock.getAsLong(), target, instance);
+  }
+
   /** Cancels an attempt that still waits for a target. */
   void cancel(long attemptId) {
     waiting.remove(attemptId);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/TargetAttempt.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/caller/net/TargetAttempt.java
@@ -13,6 +13,7 @@
 import org.waxwingbeam.target.Decision;
 import org.waxwingbeam.target.DispatchRequest;
 import org.waxwingbeam.target.LoadReport;
+import org.waxwingbeam.target.TargetNotice;
 import org.waxwingbeam.target.net.ExchangeFailure;
 import org.waxwingbeam.target.net.ResponseDisposition;
 import org.waxwingbeam.target.net.ResponseReceiver;
@@ -139,6 +140,11 @@
     }
   }
 
+  /** Returns whether the target has not stated since the assignment that it wants no requests. */
+  boolean maySend() {
+    return context.dispatcher().maySend(target, instanceId);
+  }
+
   /** Sends the head and the parts of the body that have arrived so far. */
   void send(HttpRequest head, RequestBody body) {
     sentNanos = context.clock().getAsLong();
@@ -261,6 +267,7 @@
   public void onHead(HttpResponse head) {
     headLatencyNanos = context.clock().getAsLong() - sentNanos;
     loadReport = context.targetAdapter().loadReport(head.headers());
+    applyNotice(context.targetAdapter().notice(head));
     switch (context.targetAdapter().classify(head)) {
       case ResponseDisposition.Deliverable deliverable -> deliver(head, false);
       case ResponseDisposition.Failed failed -> deliver(head, true);
@@ -275,6 +282,13 @@
     }
   }
 
+  private void applyNotice(TargetNotice notice) {
+    if (!notice.equals(TargetNotice.NONE)) {
+      context.metrics().onTargetNotice(notice.leaving() ? "leaving" : "resting");
+      context.dispatcher().applyNotice(target, instanceId, notice);
+    }
+  }
+
   private void deliver(HttpResponse head, boolean failed) {
     outcome = head.status().code() >= 500 ? AttemptOutcome.FAILURE : AttemptOutcome.SUCCESS;
     listener.onHead(this, head, failed);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/metrics/EntryMetrics.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/metrics/EntryMetrics.java
@@ -24,6 +24,7 @@
   private final Counter truncatedResponses;
   private final Counter callersGone;
   private final Counter statusChecks;
+  private final Counter targetNotices;
   private final Histogram durations;
   private final Map<ErrorKind, CounterDataPoint> refusals;
   private final Map<RetryReason, CounterDataPoint> retries;
@@ -48,6 +49,12 @@
             .register(registry);
     statusChecks =
         counter(registry, "status_checks", "Status checks of targets by what they found.", "found");
+    targetNotices =
+        counter(
+            registry,
+            "target_notices",
+            "Responses in which a target stated that it leaves or wants no requests for a while.",
+            "kind");
     durations =
         Histogram.builder()
             .name("waxwingbeam_entry_request_duration_seconds")
@@ -126,6 +133,11 @@
     truncatedResponses.inc();
   }
 
+  /** Counts a response in which a target has stated that it leaves or rests. */
+  public void onTargetNotice(String kind) {
+    targetNotices.labelValues(kind).inc();
+  }
+
   /**
    * Counts a status check.
    *
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Dispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/Dispatcher.java
@@ -1,6 +1,8 @@
 package org.waxwingbeam.target;
 
 import java.util.List;
+import java.util.Optional;
+import org.waxwingbeam.model.TargetId;
 
 /**
  * Assigns targets to attempts. It is a deterministic state machine: callers pass the current time,
@@ -44,6 +46,30 @@
    */
   void cancel(long nowNanos, long attemptId);
 
+  /**
+   * Applies what a target has stated in a response about further requests. Does nothing in
+   * dispatchers that learn of it by other means.
+   *
+   * @param nowNanos the current time on the entry's monotonic clock
+   * @param target the address of the target
+   * @param instance the identity of the target, if it has reported one
+   * @param notice what it has stated
+   */
+  default void applyNotice(
+      long nowNanos, TargetId target, Optional<String> instance, TargetNotice notice) {}
+
+  /**
+   * Returns whether a request may still be sent to the target that was assigned to its attempt. The
+   * target may have stated since then that it wants none.
+   *
+   * @param nowNanos the current time on the entry's monotonic clock
+   * @param target the address of the target
+   * @param instance the identity of the target, if it has reported one
+   */
+  default boolean maySend(long nowNanos, TargetId target, Optional<String> instance) {
+    return true;
+  }
+
   /**
    * Refuses the waiting attempts whose deadline has passed and tries to assign targets to the
    * others.
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetAdapter.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetAdapter.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
 import org.waxwingbeam.target.LoadReport;
+import org.waxwingbeam.target.TargetNotice;
 
 /**
  * Adapter for a protocol of targets: sets the protocol headers of requests and interprets the heads
@@ -21,6 +22,11 @@
   /** Returns the load report of a response, if any. */
   Optional<LoadReport> loadReport(HttpHeaders headers);
 
+  /** Returns what a response states about further requests; nothing in protocols without it. */
+  default TargetNotice notice(HttpResponse head) {
+    return TargetNotice.NONE;
+  }
+
   /** Classifies a response by its head. */
   ResponseDisposition classify(HttpResponse head);
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetProber.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/net/TargetProber.java
@@ -109,7 +109,8 @@
       TargetAdapter.HealthReport report = adapter.healthReport(head.headers());
       result =
           Optional.of(
-              new ProbeResult.Answered(report.instanceId(), report.load(), report.coldLeftMs()));
+              new ProbeResult.Answered(
+                  report.instanceId(), report.load(), report.coldLeftMs(), adapter.notice(head)));
     }
 
     @Override
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacedTarget.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacedTarget.java
@@ -30,6 +30,7 @@
   private final ColdTargetPacer pacer;
   private final ProbeSchedule probes;
   private final CheckBudget checkBudget = new CheckBudget();
+  private final StatedAvailability availability;
   private final long createdNanos;
   private TargetRecord record;
   private boolean addressReused;
@@ -42,6 +43,7 @@
     version = new VersionName(record.getVersion());
     pacer = new ColdTargetPacer(context.random());
     probes = new ProbeSchedule(context.checksPerSecond());
+    availability = new StatedAvailability(context.random(), context.leaveGraceNanos());
   }
 
   TargetId id() {
@@ -72,6 +74,11 @@
     return record.getState() == TargetRecord.State.READY && !addressReused;
   }
 
+  /** Returns what this start of the target has stated in its responses. */
+  StatedAvailability availability() {
+    return availability;
+  }
+
   boolean isCold(long nowNanos) {
     return pacer.isCold(nowNanos);
   }
@@ -121,6 +128,9 @@
    * @param rank number of entry instances that are to check the target before this one
    */
   boolean isProbeDue(long nowNanos, int rank) {
+    if (!availability.allowsRequests(nowNanos)) {
+      return false;
+    }
     if (failureTracker.isTrialDue(nowNanos)) {
       return probes.mayCheckAgain(nowNanos);
     }
@@ -133,7 +143,9 @@
 
   /** Returns whether the target is paused and a status check may end its pause. */
   boolean isTrialProbeDue(long nowNanos) {
-    return failureTracker.isTrialDue(nowNanos) && probes.mayCheckAgain(nowNanos);
+    return availability.allowsRequests(nowNanos)
+        && failureTracker.isTrialDue(nowNanos)
+        && probes.mayCheckAgain(nowNanos);
   }
 
   /** Returns whether the latest load report still describes the target. */
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementContext.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementContext.java
@@ -20,6 +20,8 @@
  * @param loadListener is notified of what this entry instance learns about the load of targets
  * @param checksPerSecond status checks that all entry instances together may send to one target
  * @param stoppedMoves the moves that this entry instance has stopped on its own
+ * @param leaveGraceNanos time in which a target that has stated that it leaves still serves
+ *     requests that no other target can serve
  * @since 0.1.0
  */
 public record PlacementContext(
@@ -31,7 +33,32 @@
     RandomGenerator random,
     LoadListener loadListener,
     double checksPerSecond,
-    StoppedMoves stoppedMoves) {
+    StoppedMoves stoppedMoves,
+    long leaveGraceNanos) {
+  /** Creates a context in which a target that leaves serves nothing more. */
+  public PlacementContext(
+      String instance,
+      String dataCentre,
+      IntSupplier fleetSize,
+      BooleanSupplier reportsReachAll,
+      Consumer<ProbeRequest> probeSender,
+      RandomGenerator random,
+      LoadListener loadListener,
+      double checksPerSecond,
+      StoppedMoves stoppedMoves) {
+    this(
+        instance,
+        dataCentre,
+        fleetSize,
+        reportsReachAll,
+        probeSender,
+        random,
+        loadListener,
+        checksPerSecond,
+        stoppedMoves,
+        0);
+  }
+
   /** Is notified of target load, so that it can be shared with the other entry instances. */
   public interface LoadListener {
     /** Called when a request is sent to a target. */
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/PlacementDispatcher.java
@@ -11,6 +11,7 @@
 import org.waxwingbeam.target.DispatchRequest;
 import org.waxwingbeam.target.Dispatcher;
 import org.waxwingbeam.target.LoadReport;
+import org.waxwingbeam.target.TargetNotice;
 import org.waxwingbeam.wire.feed.TargetRecord;
 import org.waxwingbeam.wire.feed.VersionEvidence;
 import org.waxwingbeam.wire.routing.RoutingState;
@@ -122,6 +123,18 @@
             .toList());
   }
 
+  @Override
+  public void applyNotice(
+      long nowNanos, TargetId target, Optional<String> instance, TargetNotice notice) {
+    services.values().forEach(each -> each.notices().apply(nowNanos, target, instance, notice));
+  }
+
+  @Override
+  public boolean maySend(long nowNanos, TargetId target, Optional<String> instance) {
+    return services.values().stream()
+        .allMatch(each -> each.notices().maySend(nowNanos, target, instance));
+  }
+
   private List<Decision> forgetRefused(List<Decision> decisions) {
     decisions.stream()
         .filter(Decision.Refused.class::isInstance)
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ProbeResult.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ProbeResult.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.waxwingbeam.target.LoadReport;
+import org.waxwingbeam.target.TargetNotice;
 
 /**
  * The result of a status check.
@@ -15,9 +16,23 @@
    * @param instance the identity in the response, if present
    * @param load the load in the response, if present
    * @param coldLeftMs time until the target is warm, in milliseconds; 0 if it is warm
+   * @param notice what the target has stated about further requests
    */
-  record Answered(Optional<String> instance, Optional<LoadReport> load, int coldLeftMs)
-      implements ProbeResult {}
+  record Answered(
+      Optional<String> instance, Optional<LoadReport> load, int coldLeftMs, TargetNotice notice)
+      implements ProbeResult {
+    /** Creates the response of a target that states nothing about further requests. */
+    public Answered(Optional<String> instance, Optional<LoadReport> load, int coldLeftMs) {
+      this(instance, load, coldLeftMs, TargetNotice.NONE);
+    }
+
+    @Override
+    public String toString() {
+      String stated = notice.equals(TargetNotice.NONE) ? "" : ", notice=" + notice;
+      return "Answered[instance=%s, load=%s, coldLeftMs=%d%s]"
+          .formatted(instance, load, coldLeftMs, stated);
+    }
+  }
 
   /** No connection to the target could be opened. */
   record Unreachable() implements ProbeResult {}
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/placement/ServicePlacement.java
@@ -54,6 +54,7 @@
   private final RandomGenerator random;
   private final TrafficSplit trafficSplit;
   private final PlacedTargets targets;
+  private final TargetNotices notices;
   private final MoveSamples samples = new MoveSamples();
   private final ServiceAverages averages = new ServiceAverages();
   private final DataCentreAffinity affinity = new DataCentreAffinity();
@@ -69,6 +70,7 @@
   ServicePlacement(PlacementContext context) {
     this.context = context;
     targets = new PlacedTargets(context);
+    notices = new TargetNotices(targets);
     random = context.random();
     trafficSplit = new TrafficSplit(random.nextDouble());
   }
@@ -132,6 +134,9 @@
     Optional<PlacedTarget> target =
         targets.find(probe.target()).filter(each -> each.record().getId().equals(probe.instance()));
     target.ifPresent(each -> applyProbeResult(nowNanos, each, result));
+    if (result instanceof ProbeResult.Answered responded) {
+      notices.apply(nowNanos, probe.target(), Optional.of(probe.instance()), responded.notice());
+    }
     boolean idle = target.filter(each -> isUsableAtOnce(nowNanos, each)).isPresent();
     return decideAll(nowNanos, pending.onChecked(probe.instance(), idle));
   }
@@ -140,6 +145,11 @@
     return target.isReady() && !target.isCold(nowNanos) && target.isIdle(nowNanos);
   }
 
+  /** Returns what the targets have stated in their responses. */
+  TargetNotices notices() {
+    return notices;
+  }
+
   /** Returns the decisions for requests that have waited long enough for status checks. */
   List<Decision> tick(long nowNanos) {
     return decideAll(nowNanos, pending.takeDue(nowNanos));
@@ -243,7 +253,10 @@
     Selection selection = select(nowNanos, request, ready, version);
     return switch (selection) {
       case Selection.NoTarget noTarget ->
-          new Decision.Refused(request.attemptId(), ErrorKind.NO_TARGET, NO_TARGET_RETRY_MS);
+          new Decision.Refused(
+              request.attemptId(),
+              ErrorKind.NO_TARGET,
+              notices.timeToFirstReturnMs(nowNanos).orElse(NO_TARGET_RETRY_MS));
       case Selection.Selected selected when isAdmitted(nowNanos, request, selected.target()) ->
           assign(nowNanos, request, selected);
       case Selection.Selected selected -> refuseOverloaded(request);
@@ -276,10 +289,30 @@
       long nowNanos, DispatchRequest request, List<PlacedTarget> ready, Predicate<String> version) {
     return best(nowNanos, request, ready, version)
         .or(() -> best(nowNanos, request, ready, this::isProven))
+        .or(() -> bestLeaving(nowNanos, request, ready, version))
         .<Selection>map(each -> new Selection.Selected(each, ready.size()))
         .orElseGet(Selection.NoTarget::new);
   }
 
+  /** Returns the best of the targets that are about to stop but still serve what others cannot. */
+  private Optional<PlacedTarget> bestLeaving(
+      long nowNanos, DispatchRequest request, List<PlacedTarget> ready, Predicate<String> version) {
+    return lowestScore(
+        nowNanos,
+        request,
+        ready.stream()
+            .filter(each -> each.availability().allowsLastResort(nowNanos))
+            .filter(each -> isAllowed(nowNanos, each, request, version)));
+  }
+
+  private static boolean isAllowed(
+      long nowNanos, PlacedTarget target, DispatchRequest request, Predicate<String> version) {
+    return target.isReady()
+        && version.test(target.record().getVersion())
+        && !request.excluded().contains(target.id())
+        && target.allowsRequest(nowNanos);
+  }
+
   private Decision assign(long nowNanos, DispatchRequest request, Selection.Selected selected) {
     PlacedTarget target = selected.target();
     Decision.SelectionBasis basis =
@@ -350,10 +383,8 @@
       long nowNanos, DispatchRequest request, List<PlacedTarget> ready, Predicate<String> version) {
     Predicate<PlacedTarget> allowed =
         each ->
-            each.isReady()
-                && version.test(each.record().getVersion())
-                && !request.excluded().contains(each.id())
-                && each.allowsRequest(nowNanos);
+            each.availability().allowsRequests(nowNanos)
+                && isAllowed(nowNanos, each, request, version);
     Optional<TargetSubset> own = targets.subset();
     if (own.isEmpty()) {
       return ready.stream().filter(allowed);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/RecordingDispatcher.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/target/version/RecordingDispatcher.java
@@ -12,6 +12,7 @@
 import org.waxwingbeam.target.DispatchRequest;
 import org.waxwingbeam.target.Dispatcher;
 import org.waxwingbeam.target.TargetAnnouncement;
+import org.waxwingbeam.target.TargetNotice;
 import org.waxwingbeam.target.TargetRegistry;
 
 /**
@@ -69,6 +70,17 @@
     dispatcher.cancel(nowNanos, attemptId);
   }
 
+  @Override
+  public void applyNotice(
+      long nowNanos, TargetId target, Optional<String> instance, TargetNotice notice) {
+    dispatcher.applyNotice(nowNanos, target, instance, notice);
+  }
+
+  @Override
+  public boolean maySend(long nowNanos, TargetId target, Optional<String> instance) {
+    return dispatcher.maySend(nowNanos, target, instance);
+  }
+
   @Override
   public List<Decision> tick(long nowNanos) {
     return track(dispatcher.tick(nowNanos));
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/FleetPlacementTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/FleetPlacementTest.java
@@ -84,6 +84,22 @@
     assertThat(1 - checked).isLessThan(0.7 * (1 - blind));
   }
 
+  /** A quarter of the targets leaves or rests at every moment; they are back after a second. */
+  @ParameterizedTest
+  @CsvSource({"1,15,16", "2,15,16", "1,95,60", "2,95,60"})
+  void targetsThatLeaveOrRestGetNothingAndMoreCallersAreServedInTime(
+      long seed, int entries, int targets) {
+    double rate = 0.5 * CAPACITY * targets;
+    LoadSimulation unread = fleet(seed, entries, targets, true).withNotices(false);
+    final double before = inTimeShare(unread.run(rate, DURATION));
+    LoadSimulation read = fleet(seed, entries, targets, true).withNotices(true);
+    final double after = inTimeShare(read.run(rate, DURATION));
+
+    assertThat(unread.unwantedRequests()).isGreaterThan(0);
+    assertThat(read.unwantedRequests()).isEqualTo(0);
+    assertThat(after).isAtLeast(before);
+  }
+
   @ParameterizedTest
   @CsvSource({"50,30", "150,90", "300,180"})
   void checksAndConnectionsPerEntryInstanceDoNotGrowWithTheFleet(int entries, int targets) {
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/LoadSimulation.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/target/placement/LoadSimulation.java
@@ -25,6 +25,7 @@
 import org.waxwingbeam.target.DispatchRequest;
 import org.waxwingbeam.target.Dispatcher;
 import org.waxwingbeam.target.LoadReport;
+import org.waxwingbeam.target.TargetNotice;
 import org.waxwingbeam.wire.feed.TargetRecord;
 import org.waxwingbeam.wire.routing.RoutingDocument;
 import org.waxwingbeam.wire.routing.RoutingState;
@@ -61,6 +62,11 @@
   private static final long PROBE_INTERVAL = 20 * MS;
   private static final double PROBE_RUN_TIME_MS = 6;
 
+  /** Time for which a target rests or leaves, and groups of targets that do so in turn. */
+  private static final long NOTICE_PERIOD = 1_000 * MS;
+
+  private static final int NOTICE_GROUPS = 4;
+
   private final SplittableRandom random;
   private final PriorityQueue<Event> events =
       new PriorityQueue<>((one, other) -> Long.compare(one.at(), other.at()));
@@ -70,6 +76,9 @@
   private long attempts;
   private boolean statusChecks;
   private boolean sharedReports = true;
+  private boolean notices;
+  private boolean noticesRead;
+  private int unwantedRequests;
   private int checks;
   private final Set<String> connections = new HashSet<>();
   private double noisyFraction = 0.2;
@@ -118,6 +127,23 @@
     return this;
   }
 
+  /**
+   * Makes a quarter of the targets in turn state that they leave or rest: some refuse every request
+   * and state how long, the others serve on and start again at the end.
+   *
+   * @param read whether the entry instances read what the targets state
+   */
+  LoadSimulation withNotices(boolean read) {
+    notices = true;
+    noticesRead = read;
+    return this;
+  }
+
+  /** Returns the requests that reached a target from an entry instance that it had told not to. */
+  int unwantedRequests() {
+    return unwantedRequests;
+  }
+
   /** Returns the number of status checks that were sent. */
   int checks() {
     return checks;
@@ -197,6 +223,9 @@
   /** Simulates a constant rate of requests. */
   Result run(double perSecond, long durationNanos) {
     targets.values().forEach(Target::changeNoise);
+    if (notices) {
+      targets.values().forEach(each -> each.restartAfterLeaving(durationNanos));
+    }
     arrive(perSecond, durationNanos);
     tick(durationNanos);
     if (statusChecks) {
@@ -309,10 +338,7 @@
       decisions.forEach(
           decision -> {
             switch (decision) {
-              case Decision.Assigned assigned -> {
-                connect(assigned.target());
-                targets.get(assigned.target()).accept(this, assigned.attemptId());
-              }
+              case Decision.Assigned assigned -> send(assigned);
               case Decision.Refused refused -> {
                 arrivals.remove(refused.attemptId());
                 count(0, 0, 1, 0);
@@ -322,6 +348,21 @@
           });
     }
 
+    private void send(Decision.Assigned assigned) {
+      long attempt = assigned.attemptId();
+      if (dispatcher.maySend(now, assigned.target(), assigned.instance())) {
+        connect(assigned.target());
+        targets.get(assigned.target()).accept(this, attempt);
+        return;
+      }
+      apply(
+          dispatcher.complete(
+              now,
+              new Completion(
+                  attempt, assigned.target(), AttemptOutcome.CANCELLED, 0, Optional.empty())));
+      apply(List.of(dispatcher.request(now, request(attempt, arrivals.get(attempt)))));
+    }
+
     void end(long attempt, Target target, AttemptOutcome outcome, long sent) {
       long responseTime = now - arrivals.remove(attempt);
       boolean served = outcome == AttemptOutcome.SUCCESS && responseTime <= DEADLINE;
@@ -333,6 +374,7 @@
           !served && !refused ? 1 : 0);
       LoadReport report = target.report();
       notifyOthers(this, each -> each.applyReport(now, target.id, report));
+      target.stateNotice(this);
       apply(
           dispatcher.complete(
               now, new Completion(attempt, target.id, outcome, now - sent, Optional.of(report))));
@@ -343,12 +385,60 @@
     private final TargetId id;
     private final Deque<Job> queue = new ArrayDeque<>();
     private final List<Job> running = new ArrayList<>();
+    private final TargetRecord record;
+    private final int number;
+    private final Map<Entry, Long> unwantedUntil = new HashMap<>();
     private boolean noisy;
     private long updated;
     private long generation;
 
     Target(TargetRecord record) {
+      this.record = record;
       id = new TargetId(record.getHost(), record.getPort());
+      number = Integer.parseInt(record.getId().substring(1));
+    }
+
+    private boolean hasNotice() {
+      return notices && now / NOTICE_PERIOD % NOTICE_GROUPS == number % NOTICE_GROUPS;
+    }
+
+    private boolean leaves() {
+      return number % (2 * NOTICE_GROUPS) < NOTICE_GROUPS;
+    }
+
+    private long noticeEnd() {
+      return (now / NOTICE_PERIOD + 1) * NOTICE_PERIOD;
+    }
+
+    void stateNotice(Entry entry) {
+      if (!hasNotice()) {
+        return;
+      }
+      unwantedUntil.put(entry, noticeEnd());
+      if (noticesRead) {
+        long leftMs = (noticeEnd() - now + MS - 1) / MS;
+        TargetNotice notice =
+            leaves() ? new TargetNotice(true, 0) : new TargetNotice(false, leftMs);
+        entry.dispatcher.applyNotice(now, id, Optional.empty(), notice);
+      }
+    }
+
+    void restartAfterLeaving(long end) {
+      long next = noticeEnd();
+      if (next >= end) {
+        return;
+      }
+      schedule(
+          next,
+          () -> {
+            TargetRecord restarted = record.toBuilder().setStartedMs(next / MS).build();
+            entries.stream()
+                .map(each -> each.dispatcher)
+                .filter(each -> leaves() && each instanceof PlacementDispatcher)
+                .map(PlacementDispatcher.class::cast)
+                .forEach(each -> each.update(now, restarted));
+            restartAfterLeaving(end);
+          });
     }
 
     private final class Job {
@@ -388,6 +478,13 @@
 
     void accept(Entry entry, long attempt) {
       notifyOthers(entry, each -> each.addRemoteRequests(now, id, 1));
+      if (now < unwantedUntil.getOrDefault(entry, 0L)) {
+        unwantedRequests++;
+      }
+      if (hasNotice() && !leaves()) {
+        entry.end(attempt, this, AttemptOutcome.REFUSED_OVERLOADED, now);
+        return;
+      }
       updateProgress();
       Job job = new Job(entry, attempt);
       if (running.size() < SLOTS) {
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/explain/Explanation.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/explain/Explanation.java
@@ -40,6 +40,10 @@
 
   private static final double MS_PER_SECOND = 1_000;
 
+  /** Events that say what an entry instance has learned of a target. */
+  private static final Set<String> TARGET_EVENTS =
+      Set.of("target-changed", "target-checked", "target-leaving", "target-resting");
+
   private final String requestId;
   private final List<LogLine> lines;
 
@@ -118,9 +122,7 @@
   }
 
   private static Predicate<LogLine> isTargetLine(String address) {
-    return line ->
-        (line.event().equals("target-changed") || line.event().equals("target-checked"))
-            && line.value("address").equals(address);
+    return line -> TARGET_EVENTS.contains(line.event()) && line.value("address").equals(address);
   }
 
   /** Returns the newest line of a process at a time that says what it knew. */
