--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Journal.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Journal.java
@@ -39,6 +39,7 @@
   private ReplicaFolder.AppendFile file;
   private long durableBytes;
   private boolean hasFailedWrite;
+  private boolean isRenameUncertain;
   private boolean isNameUnsynced;
   private long baseBytes;
   private long batchBytes;
@@ -202,6 +203,12 @@
 
   /** Restores the state after the last successful operation. */
   private void repair() throws IOException {
+    if (isRenameUncertain) {
+      // The next start would load the newest name, which lacks what is appended from now on.
+      deleteIfPresent(fileName(generation + 1));
+      isNameUnsynced = true;
+      isRenameUncertain = false;
+    }
     if (isNameUnsynced) {
       folder.sync();
       isNameUnsynced = false;
@@ -228,29 +235,27 @@
   }
 
   private void replaceBy(byte[] bytes) throws IOException {
-    if (folder.list().contains(TEMPORARY)) {
-      folder.delete(TEMPORARY);
-    }
+    repair();
+    deleteIfPresent(TEMPORARY);
     ReplicaFolder.AppendFile replacement = folder.openForAppend(TEMPORARY);
     try {
       replacement.write(bytes);
       replacement.sync();
+      isRenameUncertain = true;
       folder.rename(TEMPORARY, fileName(generation + 1));
-    } finally {
-      // The newest name is the one that the next start loads.
-      if (folder.list().contains(fileName(generation + 1))) {
-        switchTo(replacement, bytes.length);
-      } else {
-        discard(replacement);
-      }
+      isRenameUncertain = false;
+    } catch (IOException failed) {
+      replacement.close();
+      deleteIfPresent(TEMPORARY);
+      throw failed;
     }
+    switchTo(replacement, bytes.length);
     repair();
   }
 
-  private void discard(ReplicaFolder.AppendFile replacement) throws IOException {
-    replacement.close();
-    if (folder.list().contains(TEMPORARY)) {
-      folder.delete(TEMPORARY);
+  private void deleteIfPresent(String name) throws IOException {
+    if (folder.list().contains(name)) {
+      folder.delete(name);
     }
   }
 
