A leave report that an entry instance could not apply is not confirmed

Since a failed frame no longer ends the connection, so that the next pulse would have confirmed a leave report that was not applied. Found in the diff; such a report ends the connection as before.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedClient.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedClient.java
@@ -22,6 +22,7 @@
 import org.waxwingbeam.wire.feed.EntryFrame;
 import org.waxwingbeam.wire.feed.EntryGreeting;
 import org.waxwingbeam.wire.feed.EntryPulse;
+import org.waxwingbeam.wire.feed.TargetRecord;
 
 /**
  * Keeps an entry instance connected to every known control replica; the replicas report the
@@ -278,9 +279,13 @@
     try {
       listener.receive(from.address, frame);
     } catch (RuntimeException failure) {
-      // The connection stays open: later frames do not depend on this one.
       LOG.error(
           "frame-failed", "replica", from.address, "kind", frame.getKindCase(), "reason", failure);
+      if (isLeaveReport(frame)) {
+        // Must not be confirmed: without the connection, the replica does not wait for it.
+        throw failure;
+      }
+      // Otherwise the connection stays open: later frames do not depend on this one.
     }
     if (frame.hasRouting()) {
       from.receivedRevision = Math.max(from.receivedRevision, frame.getRouting().getRevision());
@@ -292,6 +297,10 @@
     }
   }
 
+  private static boolean isLeaveReport(ControlFrame frame) {
+    return frame.hasTarget() && frame.getTarget().getState() != TargetRecord.State.READY;
+  }
+
   private static final class Initializer extends ChannelInitializer<SocketChannel> {
     private final ReplicaConnection connection;
 
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/control/net/FeedFleetTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/control/net/FeedFleetTest.java
@@ -38,6 +38,7 @@
   private final AtomicInteger targets = new AtomicInteger();
   private final AtomicInteger disconnects = new AtomicInteger();
   private final AtomicInteger routings = new AtomicInteger();
+  private volatile String failingTarget = "";
   private final AtomicInteger failuresLeft = new AtomicInteger();
   private final List<FeedClient> clients = new ArrayList<>();
   private RoutingState routing = RoutingState.getDefaultInstance();
@@ -114,12 +115,19 @@
     public void receive(Endpoint replica, ControlFrame frame) {
       switch (frame.getKindCase()) {
         case LOAD_PEERS -> loadPeers.incrementAndGet();
-        case TARGET -> targets.incrementAndGet();
+        case TARGET -> applyTarget(frame.getTarget());
         case ROUTING -> apply(frame.getRouting());
         default -> {}
       }
     }
 
+    private void applyTarget(TargetRecord record) {
+      targets.incrementAndGet();
+      if (record.getId().equals(failingTarget)) {
+        throw new IllegalStateException("expected by the test");
+      }
+    }
+
     private void apply(RoutingState state) {
       routings.incrementAndGet();
       if (failuresLeft.getAndDecrement() > 0) {
@@ -265,4 +273,36 @@
     assertThat(publish(List.of(), 1).get(2, TimeUnit.SECONDS)).isTrue();
     assertThat(disconnects.get()).isEqualTo(0);
   }
+
+  @Test
+  void leaveReportThatCouldNotBeAppliedIsNotConfirmed() throws Exception {
+    start(1);
+    Thread.sleep(SETTLE_MS);
+    failingTarget = "i-leaving";
+    TargetRecord leaving =
+        record(1).toBuilder().setId(failingTarget).setState(TargetRecord.State.DRAINING).build();
+    onLoop(
+        () -> {
+          server.publish(leaving);
+          return null;
+        });
+    Thread.sleep(SETTLE_MS / 5);
+    assertThat(disconnects.get()).isAtLeast(1);
+  }
+
+  @Test
+  void otherRecordThatCouldNotBeAppliedDoesNotEndTheConnection() throws Exception {
+    start(1);
+    Thread.sleep(SETTLE_MS);
+    failingTarget = "i-1";
+    onLoop(
+        () -> {
+          server.publish(record(1));
+          server.publish(record(2));
+          return null;
+        });
+    Thread.sleep(SETTLE_MS / 5);
+    assertThat(disconnects.get()).isEqualTo(0);
+    assertThat(targets.get()).isEqualTo(TARGETS + 2);
+  }
 }
