The replicated log is bounded in bytes

Each entry holds the whole configuration twice. Ruled out: the framing of messages and the feed, which hold one state each; without the kill the heap is full of log entries.

JournalTest reads journals through RecoveredJournal, with the same expectations.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/DiskFolder.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/DiskFolder.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
@@ -78,8 +79,8 @@
   }
 
   @Override
-  public byte[] read(String name) throws IOException {
-    return Files.readAllBytes(folder.resolve(name));
+  public ReadFile openForRead(String name) throws IOException {
+    return new DiskReadFile(FileChannel.open(folder.resolve(name), StandardOpenOption.READ));
   }
 
   @Override
@@ -119,6 +120,29 @@
     lockChannel.close();
   }
 
+  private record DiskReadFile(FileChannel channel) implements ReadFile {
+    @Override
+    public long size() throws IOException {
+      return channel.size();
+    }
+
+    @Override
+    public byte[] read(long position, int length) throws IOException {
+      ByteBuffer buffer =
+          ByteBuffer.allocate((int) Math.max(0, Math.min(length, size() - position)));
+      int read = 0;
+      while (buffer.hasRemaining() && read >= 0) {
+        read = channel.read(buffer, position + buffer.position());
+      }
+      return Arrays.copyOf(buffer.array(), buffer.position());
+    }
+
+    @Override
+    public void close() throws IOException {
+      channel.close();
+    }
+  }
+
   private record DiskFile(FileChannel channel) implements AppendFile {
     @Override
     public void write(byte[] bytes) throws IOException {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/DurableLog.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/DurableLog.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.waxwingbeam.wire.replica.Command;
 import org.waxwingbeam.wire.replica.JournalBase;
 import org.waxwingbeam.wire.replica.JournalBatch;
@@ -13,19 +15,36 @@
   private final Journal journal;
   private final ReplicaLog log = new ReplicaLog();
   private long term;
-  private String votedFor;
+  private String votedFor = "";
   private boolean termUnsynced;
   private long snapshotIndex;
   private Optional<LogSnapshot> unsyncedSnapshot = Optional.empty();
 
-  /** Creates the log from an open journal and the contents that the caller has taken from it. */
-  DurableLog(Journal journal, Journal.Recovered recovered) {
+  /** Creates an empty log; {@link #recover} fills it. */
+  DurableLog(Journal journal) {
     this.journal = journal;
-    term = recovered.term();
-    votedFor = recovered.votedFor();
-    reset(recovered.snapshot());
-    recovered.entries().forEach(log::append);
-    log.markSynced();
+  }
+
+  /**
+   * Reads the contents of the journal.
+   *
+   * @param snapshots called first, with the snapshot at which the log starts
+   * @param committed called after each batch with the index of the last entry that was known to be
+   *     committed; it may discard entries up to that index
+   */
+  void recover(Consumer<LogSnapshot> snapshots, LongConsumer committed) throws IOException {
+    journal.replay(
+        snapshot -> {
+          reset(snapshot);
+          snapshots.accept(snapshot);
+        },
+        batch -> {
+          term = batch.getTerm();
+          votedFor = batch.getVotedFor();
+          batch.getEntriesList().forEach(log::replace);
+          log.markSynced();
+          committed.accept(Math.min(batch.getCommitted(), log.lastIndex()));
+        });
   }
 
   private void reset(LogSnapshot snapshot) {
@@ -102,20 +121,29 @@
     unsyncedSnapshot = Optional.of(snapshot);
   }
 
-  /** Returns whether the journal has grown enough since the last snapshot to be compacted. */
-  boolean isSnapshotDue(long appliedIndex, int minEntries) {
-    return appliedIndex - snapshotIndex >= minEntries
-        && journal.batchBytes() >= journal.baseBytes();
+  /**
+   * Returns whether the log has grown enough since the last snapshot to be compacted: by a number
+   * of entries or of bytes, and by at least the size of that snapshot.
+   */
+  boolean isSnapshotDue(long appliedIndex, Replica.Options options) {
+    boolean grown =
+        appliedIndex - snapshotIndex >= options.snapshotEntries()
+            || journal.batchBytes() >= options.snapshotBytes();
+    return grown && journal.batchBytes() >= journal.baseBytes();
   }
 
   /**
-   * Compacts the journal to a snapshot of this replica's state and the entries after it.
-   *
-   * @param trailingEntries number of entries before the snapshot that stay in memory
+   * Compacts the journal to a snapshot of this replica's state and the entries after it, and
+   * removes entries from memory that the snapshot contains.
    */
-  void compact(LogSnapshot snapshot, int trailingEntries) throws IOException {
+  void compact(LogSnapshot snapshot, Replica.Options options) throws IOException {
     rewriteJournal(snapshot);
-    log.discard(snapshot.getIndex() - trailingEntries);
+    discardApplied(snapshot.getIndex(), options);
+  }
+
+  /** Removes applied entries from memory, but for the newest ones. */
+  void discardApplied(long appliedIndex, Replica.Options options) {
+    log.discardAllBut(appliedIndex, options.trailingEntries(), options.trailingBytes());
   }
 
   private void rewriteJournal(LogSnapshot snapshot) throws IOException {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Journal.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Journal.java
@@ -1,16 +1,15 @@
 package org.waxwingbeam.replica;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.waxwingbeam.logging.EventLog;
 import org.waxwingbeam.wire.replica.JournalBase;
 import org.waxwingbeam.wire.replica.JournalBatch;
 import org.waxwingbeam.wire.replica.JournalHeader;
 import org.waxwingbeam.wire.replica.JournalRecord;
-import org.waxwingbeam.wire.replica.LogEntry;
 import org.waxwingbeam.wire.replica.LogSnapshot;
 
 /**
@@ -25,16 +24,13 @@
  * @since 0.1.0
  */
 public final class Journal implements AutoCloseable {
+  private static final EventLog LOG = new EventLog(Journal.class);
   private static final int FORMAT_VERSION = 1;
   private static final String PREFIX = "journal-";
   private static final String TEMPORARY = "journal.new";
-  private static final int HEADER_AND_BASE_RECORDS = 2;
-  private static final Recovered EMPTY =
-      new Recovered(LogSnapshot.getDefaultInstance(), 0, "", List.of(), 0, 0);
 
   private final ReplicaFolder folder;
   private final String replicaId;
-  private Recovered recovered;
   private long generation;
   private ReplicaFolder.AppendFile file;
   private long durableBytes;
@@ -44,34 +40,10 @@
   private long baseBytes;
   private long batchBytes;
 
-  /**
-   * The contents of a journal when it was opened.
-   *
-   * @param snapshot the snapshot at which the log starts
-   * @param term the newest term
-   * @param votedFor the replica that got the vote in that term, or empty text
-   * @param entries the entries after the snapshot, in order
-   * @param committed index of the last entry that was known to be committed
-   * @param cutBytes number of bytes of an interrupted write that were cut from the end of the file
-   */
-  public record Recovered(
-      LogSnapshot snapshot,
-      long term,
-      String votedFor,
-      List<LogEntry> entries,
-      long committed,
-      long cutBytes) {
-    /** Copies the list. */
-    public Recovered {
-      entries = List.copyOf(entries);
-    }
-  }
-
-  private Journal(ReplicaFolder folder, String replicaId, long generation, Recovered recovered) {
+  private Journal(ReplicaFolder folder, String replicaId, long generation) {
     this.folder = folder;
     this.replicaId = replicaId;
     this.generation = generation;
-    this.recovered = recovered;
   }
 
   /**
@@ -101,65 +73,79 @@
   }
 
   private static Journal create(ReplicaFolder folder, String id) throws IOException {
-    Journal journal = new Journal(folder, id, 0, EMPTY);
+    Journal journal = new Journal(folder, id, 0);
     journal.rewrite(JournalBase.getDefaultInstance());
     return journal;
   }
 
   private static Journal load(ReplicaFolder folder, String name) throws IOException {
-    byte[] bytes = folder.read(name);
-    RecordFormat.Contents contents = RecordFormat.read(name, bytes);
-    checkHeaderAndBase(name, contents);
-    if (contents.end() < bytes.length) {
-      folder.truncate(name, contents.end());
+    try (RecordReader records = RecordReader.open(folder, name)) {
+      final JournalHeader header = readHeader(name, records);
+      long baseStart = records.offset();
+      readBase(name, records);
+      final long baseBytes = records.offset() - baseStart;
+      records.skipIntact();
+      if (records.offset() < records.size()) {
+        LOG.info("journal-cut", "file", name, "bytes", records.size() - records.offset());
+        folder.truncate(name, records.offset());
+      }
+      long generation = Long.parseLong(name.substring(PREFIX.length()));
+      Journal journal = new Journal(folder, header.getReplicaId(), generation);
+      journal.file = folder.openForAppend(name);
+      journal.file.sync();
+      folder.sync();
+      journal.baseBytes = baseBytes;
+      journal.batchBytes = records.offset() - baseBytes;
+      journal.durableBytes = records.offset();
+      return journal;
     }
-    JournalHeader header = contents.records().getFirst().getHeader();
-    long generation = Long.parseLong(name.substring(PREFIX.length()));
-    Recovered recovered = replay(contents.records(), bytes.length - contents.end());
-    Journal journal = new Journal(folder, header.getReplicaId(), generation, recovered);
-    journal.file = folder.openForAppend(name);
-    journal.file.sync();
-    folder.sync();
-    journal.baseBytes = RecordFormat.encode(contents.records().get(1)).length;
-    journal.batchBytes = contents.end() - journal.baseBytes;
-    journal.durableBytes = contents.end();
-    return journal;
   }
 
-  private static void checkHeaderAndBase(String name, RecordFormat.Contents contents)
-      throws DamagedJournalException {
-    List<JournalRecord> records = contents.records();
-    if (records.size() < HEADER_AND_BASE_RECORDS
-        || !records.getFirst().hasHeader()
-        || !records.get(1).hasBase()) {
-      throw new DamagedJournalException(name, contents.end(), "header or base is missing");
+  private static JournalHeader readHeader(String name, RecordReader records) throws IOException {
+    Optional<JournalRecord> first = records.next().filter(JournalRecord::hasHeader);
+    if (first.isEmpty()) {
+      throw missingHeaderOrBase(name, records);
     }
-    int version = records.getFirst().getHeader().getFormatVersion();
+    int version = first.get().getHeader().getFormatVersion();
     if (version != FORMAT_VERSION) {
       throw new DamagedJournalException(
           name, 0, "format version %d: expected %d".formatted(version, FORMAT_VERSION));
     }
+    return first.get().getHeader();
   }
 
-  private static Recovered replay(List<JournalRecord> records, long cutBytes) {
-    JournalBase base = records.get(1).getBase();
-    long snapshotIndex = base.getSnapshot().getIndex();
-    List<LogEntry> entries = new ArrayList<>(base.getBatch().getEntriesList());
-    JournalBatch newest = base.getBatch();
-    long committed = Math.max(snapshotIndex, newest.getCommitted());
-    for (JournalRecord each : records.subList(HEADER_AND_BASE_RECORDS, records.size())) {
-      newest = each.getBatch();
-      newest.getEntriesList().forEach(entry -> put(entries, snapshotIndex, entry));
-      committed = Math.max(committed, newest.getCommitted());
+  private static JournalBase readBase(String name, RecordReader records) throws IOException {
+    Optional<JournalRecord> second = records.next().filter(JournalRecord::hasBase);
+    if (second.isEmpty()) {
+      throw missingHeaderOrBase(name, records);
     }
-    return new Recovered(
-        base.getSnapshot(), newest.getTerm(), newest.getVotedFor(), entries, committed, cutBytes);
+    return second.get().getBase();
   }
 
-  private static void put(List<LogEntry> entries, long snapshotIndex, LogEntry entry) {
-    int position = (int) (entry.getIndex() - snapshotIndex - 1);
-    entries.subList(position, entries.size()).clear();
-    entries.add(entry);
+  private static DamagedJournalException missingHeaderOrBase(String name, RecordReader records) {
+    return new DamagedJournalException(name, records.offset(), "header or base is missing");
+  }
+
+  /**
+   * Reads the contents again. Only one batch is held in memory at a time.
+   *
+   * @param snapshot called first, with the snapshot at which the log starts
+   * @param batch called with each batch of changes, oldest first
+   * @throws IOException if the file cannot be read
+   */
+  public void replay(Consumer<LogSnapshot> snapshot, Consumer<JournalBatch> batch)
+      throws IOException {
+    try (RecordReader records = RecordReader.open(folder, fileName())) {
+      readHeader(fileName(), records);
+      JournalBase base = readBase(fileName(), records);
+      snapshot.accept(base.getSnapshot());
+      batch.accept(base.getBatch());
+      Optional<JournalRecord> next = records.next();
+      while (next.isPresent()) {
+        batch.accept(next.get().getBatch());
+        next = records.next();
+      }
+    }
   }
 
   /** Returns the replica id that was generated when the journal was created. */
@@ -167,13 +153,6 @@
     return replicaId;
   }
 
-  /** Returns the contents of the journal when it was opened, and releases them. */
-  public Recovered takeRecovered() {
-    Recovered taken = recovered;
-    recovered = EMPTY;
-    return taken;
-  }
-
   /** Returns the size of the base record, in bytes. */
   public long baseBytes() {
     return baseBytes;
@@ -227,19 +206,19 @@
   public void rewrite(JournalBase base) throws IOException {
     JournalHeader header =
         JournalHeader.newBuilder().setFormatVersion(FORMAT_VERSION).setReplicaId(replicaId).build();
-    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-    bytes.writeBytes(RecordFormat.encode(JournalRecord.newBuilder().setHeader(header).build()));
-    bytes.writeBytes(RecordFormat.encode(JournalRecord.newBuilder().setBase(base).build()));
-    replaceBy(bytes.toByteArray());
+    replaceBy(
+        RecordFormat.encode(JournalRecord.newBuilder().setHeader(header).build()),
+        RecordFormat.encode(JournalRecord.newBuilder().setBase(base).build()));
     deleteLeftovers();
   }
 
-  private void replaceBy(byte[] bytes) throws IOException {
+  private void replaceBy(byte[] header, byte[] base) throws IOException {
     repair();
     deleteIfPresent(TEMPORARY);
     ReplicaFolder.AppendFile replacement = folder.openForAppend(TEMPORARY);
     try {
-      replacement.write(bytes);
+      replacement.write(header);
+      replacement.write(base);
       replacement.sync();
       isRenameUncertain = true;
       folder.rename(TEMPORARY, fileName(generation + 1));
@@ -249,7 +228,7 @@
       deleteIfPresent(TEMPORARY);
       throw failed;
     }
-    switchTo(replacement, bytes.length);
+    switchTo(replacement, header.length + base.length);
     repair();
   }
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/RecordFormat.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/RecordFormat.java
@@ -1,11 +1,11 @@
 package org.waxwingbeam.replica;
 
+import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
-import java.util.stream.IntStream;
 import java.util.zip.CRC32C;
 import org.waxwingbeam.wire.replica.JournalRecord;
 
@@ -14,57 +14,76 @@
  * payload, a CRC-32C over length and payload, each of four bytes, and the payload.
  */
 final class RecordFormat {
+  static final int HEADER_BYTES = 12;
+
   private static final int MAGIC = 0x57424A31;
-  private static final int HEADER_BYTES = 12;
   private static final int MAX_PAYLOAD_BYTES = 256 << 20;
 
   private RecordFormat() {}
 
-  /**
-   * The decoded contents of a file.
-   *
-   * @param records the valid records before the first invalid one
-   * @param end offset of the first invalid record, or the length of the file
-   */
-  record Contents(List<JournalRecord> records, int end) {}
+  /** The header of a record. */
+  record Header(int length, int checksum) {}
 
   static byte[] encode(JournalRecord message) {
-    byte[] payload = message.toByteArray();
-    return ByteBuffer.allocate(HEADER_BYTES + payload.length)
+    int length = message.getSerializedSize();
+    ByteBuffer record = ByteBuffer.allocate(HEADER_BYTES + length);
+    CodedOutputStream payload = CodedOutputStream.newInstance(record.array(), HEADER_BYTES, length);
+    try {
+      message.writeTo(payload);
+    } catch (IOException impossible) {
+      throw new UncheckedIOException("writing to an array", impossible);
+    }
+    return record
         .putInt(MAGIC)
-        .putInt(payload.length)
-        .putInt(checksum(payload))
-        .put(payload)
+        .putInt(length)
+        .putInt(checksum(record.array(), HEADER_BYTES, length))
         .array();
   }
 
-  private static int checksum(byte[] payload) {
+  private static int checksum(byte[] bytes, int offset, int length) {
     CRC32C crc = new CRC32C();
-    crc.update(ByteBuffer.allocate(Integer.BYTES).putInt(payload.length).flip());
-    crc.update(payload);
+    crc.update(ByteBuffer.allocate(Integer.BYTES).putInt(length).flip());
+    crc.update(bytes, offset, length);
     return (int) crc.getValue();
   }
 
+  /** Returns whether a record may begin at a position in an array. */
+  static boolean isMagic(byte[] bytes, int position) {
+    return position + Integer.BYTES <= bytes.length
+        && ByteBuffer.wrap(bytes).getInt(position) == MAGIC;
+  }
+
   /**
-   * Decodes the contents of a file.
+   * Decodes the header of a record.
    *
-   * @throws DamagedJournalException if a valid record follows an invalid one, since an interrupted
-   *     write can damage only the last record
+   * @param bytes the header
+   * @param available number of bytes that the file holds after the header
+   * @return empty if the header is not valid, or its record does not end in the file
    */
-  static Contents read(String file, byte[] bytes) throws DamagedJournalException {
-    List<JournalRecord> records = new ArrayList<>();
-    int offset = 0;
-    Optional<byte[]> payload = payloadAt(bytes, offset);
-    while (payload.isPresent()) {
-      records.add(parse(file, offset, payload.get()));
-      offset += HEADER_BYTES + payload.get().length;
-      payload = payloadAt(bytes, offset);
+  static Optional<Header> decodeHeader(byte[] bytes, long available) {
+    if (!isMagic(bytes, 0) || bytes.length < HEADER_BYTES) {
+      return Optional.empty();
     }
-    checkNoRecordAfter(file, bytes, offset);
-    return new Contents(records, offset);
+    ByteBuffer buffer = ByteBuffer.wrap(bytes, Integer.BYTES, HEADER_BYTES - Integer.BYTES);
+    Header header = new Header(buffer.getInt(), buffer.getInt());
+    boolean valid =
+        header.length() >= 0 && header.length() <= Math.min(available, MAX_PAYLOAD_BYTES);
+    return valid ? Optional.of(header) : Optional.empty();
   }
 
-  private static JournalRecord parse(String file, int offset, byte[] payload)
+  /** Returns whether a payload has the checksum of its header. */
+  static boolean isIntact(Header header, byte[] payload) {
+    return payload.length == header.length()
+        && checksum(payload, 0, payload.length) == header.checksum();
+  }
+
+  /**
+   * Decodes a payload with a valid checksum.
+   *
+   * @param file name of the file that holds it
+   * @param offset offset of its record
+   */
+  static JournalRecord parse(String file, long offset, byte[] payload)
       throws DamagedJournalException {
     try {
       return JournalRecord.parseFrom(payload);
@@ -73,31 +92,4 @@
           file, offset, "record has a valid checksum but is not a JournalRecord message");
     }
   }
-
-  private static void checkNoRecordAfter(String file, byte[] bytes, int offset)
-      throws DamagedJournalException {
-    boolean found =
-        IntStream.range(offset + 1, bytes.length)
-            .anyMatch(each -> payloadAt(bytes, each).isPresent());
-    if (found) {
-      throw new DamagedJournalException(file, offset, "damaged record is followed by a valid one");
-    }
-  }
-
-  private static Optional<byte[]> payloadAt(byte[] bytes, int offset) {
-    int available = bytes.length - offset - HEADER_BYTES;
-    if (available < 0) {
-      return Optional.empty();
-    }
-    ByteBuffer buffer = ByteBuffer.wrap(bytes, offset, bytes.length - offset);
-    int magic = buffer.getInt();
-    int length = buffer.getInt();
-    if (magic != MAGIC || length < 0 || length > Math.min(available, MAX_PAYLOAD_BYTES)) {
-      return Optional.empty();
-    }
-    int checksum = buffer.getInt();
-    byte[] payload = new byte[length];
-    buffer.get(payload);
-    return checksum == checksum(payload) ? Optional.of(payload) : Optional.empty();
-  }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Replica.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Replica.java
@@ -60,17 +60,50 @@
   private long commitIndex;
   private long appliedIndex;
 
+  private static final class InvalidSnapshotException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    InvalidSnapshotException(MalformedMessageException cause) {
+      super("snapshot: " + cause.getMessage(), cause);
+    }
+  }
+
   /**
-   * Configures the compaction of the log.
+   * Configures how much of the log is kept. Sizes are those of the encoded entries, in bytes; in
+   * memory, an entry takes about three times as much.
    *
-   * @param snapshotEntries least number of entries between two snapshots; the entries since the
+   * @param snapshotEntries number of entries after which a snapshot is taken; the entries since the
    *     last snapshot must also be at least as large as it before the next one is taken
+   * @param snapshotBytes size of the entries after which a snapshot is taken under the same
+   *     condition, however few they are
    * @param trailingEntries number of applied entries that stay in memory after a snapshot, so that
    *     replicas that lag slightly need no snapshot
+   * @param trailingBytes maximum size of these entries
+   * @param uncommittedBytes size of the uncommitted entries from which on a leader takes no further
+   *     command
    */
-  public record Options(int snapshotEntries, int trailingEntries) {
+  public record Options(
+      int snapshotEntries,
+      long snapshotBytes,
+      int trailingEntries,
+      long trailingBytes,
+      long uncommittedBytes) {
     /** The options that the daemons use. */
     public static final Options DEFAULT = new Options(1_000, 200);
+
+    private static final long DEFAULT_SNAPSHOT_BYTES = 2 << 20;
+    private static final long DEFAULT_TRAILING_BYTES = 1 << 20;
+    private static final long DEFAULT_UNCOMMITTED_BYTES = 4 << 20;
+
+    /** Creates options with the default sizes. */
+    public Options(int snapshotEntries, int trailingEntries) {
+      this(
+          snapshotEntries,
+          DEFAULT_SNAPSHOT_BYTES,
+          trailingEntries,
+          DEFAULT_TRAILING_BYTES,
+          DEFAULT_UNCOMMITTED_BYTES);
+    }
   }
 
   /**
@@ -83,6 +116,7 @@
    * @param appliedListener called with each entry after it was applied
    * @param nowNanos the current time on the replica's monotonic clock
    * @throws DamagedJournalException if the journal's snapshot does not hold a valid state
+   * @throws IOException if the journal cannot be read
    */
   public Replica(
       Journal journal,
@@ -91,26 +125,39 @@
       Options options,
       Consumer<LogEntry> appliedListener,
       long nowNanos)
-      throws DamagedJournalException {
+      throws IOException {
     this.state = state;
     this.options = options;
     this.appliedListener = appliedListener;
     id = journal.replicaId();
-    Journal.Recovered recovered = journal.takeRecovered();
-    durableLog = new DurableLog(journal, recovered);
+    durableLog = new DurableLog(journal);
     log = durableLog.entries();
     election = new ReplicaElection(id, durableLog, this::send);
-    restore(recovered.snapshot());
-    commitIndex = Math.min(recovered.committed(), log.lastIndex());
+    recover();
     timer = new ElectionTimer(random, nowNanos);
     nextCompactionNanos = nowNanos;
   }
 
-  private void restore(LogSnapshot snapshot) throws DamagedJournalException {
+  /** Restores the state from the journal, of which it holds a bounded part in memory. */
+  private void recover() throws IOException {
+    try {
+      durableLog.recover(
+          this::restore,
+          committed -> {
+            commitIndex = Math.max(commitIndex, committed);
+            applyCommitted();
+            durableLog.discardApplied(appliedIndex, options);
+          });
+    } catch (InvalidSnapshotException invalid) {
+      throw new DamagedJournalException("snapshot", 0, invalid.getMessage());
+    }
+  }
+
+  private void restore(LogSnapshot snapshot) {
     try {
       state.restore(snapshot.getState());
     } catch (MalformedMessageException malformed) {
-      throw new DamagedJournalException("snapshot", 0, malformed.getMessage());
+      throw new InvalidSnapshotException(malformed);
     }
     commitIndex = snapshot.getIndex();
     appliedIndex = snapshot.getIndex();
@@ -147,7 +194,7 @@
 
   @Override
   public void propose(Command command, Consumer<ProposalOutcome> receiver) {
-    Optional<String> refusal = proposals.refusal();
+    Optional<String> refusal = proposals.refusal().or(this::uncommittedRefusal);
     if (role != ReplicaRole.LEADER) {
       receiver.accept(new ProposalOutcome.NotLeader());
     } else if (refusal.isPresent()) {
@@ -157,6 +204,15 @@
     }
   }
 
+  private Optional<String> uncommittedRefusal() {
+    long bytes = log.bytesAfter(commitIndex);
+    return bytes < options.uncommittedBytes()
+        ? Optional.empty()
+        : Optional.of(
+            "%d bytes of commands wait for the log: expected less than %d"
+                .formatted(bytes, options.uncommittedBytes()));
+  }
+
   @Override
   public boolean holdsLeaderLease(long nowNanos) {
     return leaderState
@@ -332,12 +388,8 @@
   }
 
   private void installSnapshot(LogSnapshot snapshot) {
-    try {
-      restore(snapshot);
-      durableLog.installSnapshot(snapshot);
-    } catch (DamagedJournalException malformed) {
-      throw new IllegalStateException("snapshot of the leader", malformed);
-    }
+    restore(snapshot);
+    durableLog.installSnapshot(snapshot);
   }
 
   /**
@@ -445,12 +497,12 @@
 
   /** Compacts the log, which may need more room on the disk than the next changes do. */
   private void compactIfDue(long nowNanos) {
-    boolean due = durableLog.isSnapshotDue(appliedIndex, options.snapshotEntries());
+    boolean due = durableLog.isSnapshotDue(appliedIndex, options);
     if (!due || nowNanos - nextCompactionNanos < 0) {
       return;
     }
     try {
-      durableLog.compact(takeSnapshot(), options.trailingEntries());
+      durableLog.compact(takeSnapshot(), options);
     } catch (IOException failed) {
       nextCompactionNanos = nowNanos + ReplicaTimings.COMPACTION_RETRY_NANOS;
       LOG.warn("compaction-failed", "replica", id, "reason", failed);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaFolder.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaFolder.java
@@ -15,8 +15,8 @@
   /** Returns the names of the files. */
   List<String> list() throws IOException;
 
-  /** Reads a whole file. */
-  byte[] read(String name) throws IOException;
+  /** Opens a file for reading. */
+  ReadFile openForRead(String name) throws IOException;
 
   /** Opens a file for appending; creates it if it does not exist. */
   AppendFile openForAppend(String name) throws IOException;
@@ -36,6 +36,24 @@
   @Override
   void close() throws IOException;
 
+  /** A file that is open for reading. */
+  interface ReadFile extends AutoCloseable {
+    /** Returns the length of the file in bytes. */
+    long size() throws IOException;
+
+    /**
+     * Reads bytes from a position on.
+     *
+     * @param position offset of the first byte
+     * @param length number of bytes to read
+     * @return the bytes; fewer than {@code length} only at the end of the file
+     */
+    byte[] read(long position, int length) throws IOException;
+
+    @Override
+    void close() throws IOException;
+  }
+
   /** A file that is open for appending. */
   interface AppendFile extends AutoCloseable {
     /** Writes bytes at the end of the file. */
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaLog.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaLog.java
@@ -14,18 +14,27 @@
   /** Returned as the term of an index that the log does not hold. */
   static final long NO_TERM = -1;
 
-  private final List<LogEntry> entries = new ArrayList<>();
+  private final List<Held> entries = new ArrayList<>();
   private final TreeMap<Long, Membership> memberships = new TreeMap<>();
   private long baseIndex;
   private long baseTerm;
+  private long baseEndBytes;
   private long syncedIndex;
 
+  /**
+   * An entry in memory.
+   *
+   * @param endBytes encoded size of all entries up to this one since the log was last reset
+   */
+  private record Held(LogEntry entry, long endBytes) {}
+
   /** Discards all entries and starts from a snapshot. */
   void reset(LogSnapshot snapshot) {
     entries.clear();
     memberships.clear();
     baseIndex = snapshot.getIndex();
     baseTerm = snapshot.getTerm();
+    baseEndBytes = 0;
     memberships.put(baseIndex, snapshot.getMembership());
     syncedIndex = 0;
   }
@@ -47,12 +56,26 @@
           "log entry with index %d: expected index %d"
               .formatted(entry.getIndex(), lastIndex() + 1));
     }
-    entries.add(entry);
+    entries.add(new Held(entry, endBytes(lastIndex()) + entry.getSerializedSize()));
     if (entry.getCommand().hasMembership()) {
       memberships.put(entry.getIndex(), entry.getCommand().getMembership());
     }
   }
 
+  /**
+   * Appends an entry, which replaces those of the same and higher indexes. An entry that the
+   * snapshot contains is passed over.
+   */
+  void replace(LogEntry entry) {
+    if (entry.getIndex() <= baseIndex) {
+      return;
+    }
+    if (entry.getIndex() <= lastIndex()) {
+      truncate(entry.getIndex());
+    }
+    append(entry);
+  }
+
   private void truncate(long fromIndex) {
     entries.subList((int) (fromIndex - baseIndex - 1), entries.size()).clear();
     memberships.tailMap(fromIndex, true).clear();
@@ -110,12 +133,41 @@
       return;
     }
     final long term = termAt(toIndex);
+    final long endBytes = endBytes(toIndex);
     Membership membership = membershipAt(toIndex);
     entries.subList(0, (int) (toIndex - baseIndex)).clear();
     memberships.headMap(toIndex, true).clear();
     memberships.put(toIndex, membership);
     baseIndex = toIndex;
     baseTerm = term;
+    baseEndBytes = endBytes;
+  }
+
+  /**
+   * Removes entries up to an index from memory, but for the newest ones of these that are within
+   * both limits.
+   *
+   * @param toIndex the index, which must be committed
+   * @param maxEntries number of entries before it that may stay
+   * @param maxBytes encoded size of the entries before it that may stay
+   */
+  void discardAllBut(long toIndex, int maxEntries, long maxBytes) {
+    long first = Math.max(baseIndex, toIndex - maxEntries);
+    while (first < toIndex && bytesAfter(first) - bytesAfter(toIndex) > maxBytes) {
+      first++;
+    }
+    discard(first);
+  }
+
+  private long endBytes(long index) {
+    return index == baseIndex
+        ? baseEndBytes
+        : entries.get((int) (index - baseIndex - 1)).endBytes();
+  }
+
+  /** Returns the encoded size of the entries in memory that follow an index. */
+  long bytesAfter(long index) {
+    return endBytes(lastIndex()) - endBytes(Math.max(index, baseIndex));
   }
 
   /** Returns the index before the first entry that is held in memory. */
@@ -142,7 +194,7 @@
 
   /** Returns the entry at an index that the log holds. */
   LogEntry get(long index) {
-    return entries.get((int) (index - baseIndex - 1));
+    return entries.get((int) (index - baseIndex - 1)).entry();
   }
 
   /**
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicatedState.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicatedState.java
@@ -36,14 +36,21 @@
  * @since 0.1.0
  */
 public final class ReplicatedState {
-  /** Number of accepted changes that the history keeps. */
+  /** Maximum number of accepted changes that the history keeps. */
   public static final int MAX_HISTORY = 1_000;
 
+  /**
+   * Maximum size of the changes that the history keeps, in bytes. The newest change is kept however
+   * large it is.
+   */
+  public static final long MAX_HISTORY_BYTES = 4 << 20;
+
   private final ClaimStateMachine claims;
   private final ChangeResponseCache changeResponses =
       new ChangeResponseCache(ChangeResponseCache.MAX_RESPONSES);
   private final Deque<HistoryEntry> history = new ArrayDeque<>();
   private final RoutingStateMachine routing = new RoutingStateMachine();
+  private long historyBytes;
   private Configuration configuration = Configuration.EMPTY;
   private EntryView entryView = EntryView.getDefaultInstance();
 
@@ -95,7 +102,7 @@
 
   private ChangeAnswer accept(ProposedChange proposed, Configuration next) {
     configuration = next;
-    history.add(
+    addToHistory(
         HistoryEntry.newBuilder()
             .setNumber(next.number())
             .setChangeId(proposed.getRequest().getChangeId())
@@ -103,12 +110,18 @@
             .setAcceptedMs(proposed.getProposedMs())
             .setChange(proposed.getRequest().getChange())
             .build());
-    if (history.size() > MAX_HISTORY) {
-      history.removeFirst();
-    }
     return response(ChangeAnswer.Result.ACCEPTED).setNumber(next.number()).build();
   }
 
+  private void addToHistory(HistoryEntry entry) {
+    history.add(entry);
+    historyBytes += entry.getSerializedSize();
+    while (history.size() > MAX_HISTORY
+        || (historyBytes > MAX_HISTORY_BYTES && history.size() > 1)) {
+      historyBytes -= history.removeFirst().getSerializedSize();
+    }
+  }
+
   private ChangeAnswer refuse(List<String> reasons) {
     return response(ChangeAnswer.Result.REFUSED).addAllReasons(reasons).build();
   }
@@ -206,7 +219,8 @@
     configuration = ConfigurationCodec.decode(snapshot.getConfiguration());
     entryView = snapshot.getEntryView();
     history.clear();
-    history.addAll(snapshot.getHistoryList());
+    historyBytes = 0;
+    snapshot.getHistoryList().forEach(this::addToHistory);
     changeResponses.restore(snapshot.getAnswersList());
     claims.restore(snapshot.getClaims());
     routing.restore(snapshot.getRouting());
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/testing/replica/SimulatedFolder.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/testing/replica/SimulatedFolder.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -114,8 +115,8 @@
   }
 
   @Override
-  public byte[] read(String name) throws IOException {
-    return content(name).bytes();
+  public ReadFile openForRead(String name) throws IOException {
+    return new SimulatedReadFile(content(name).bytes());
   }
 
   private Content content(String name) throws IOException {
@@ -142,7 +143,7 @@
   public void truncate(String name, long length) throws IOException {
     faults.beforeOperation();
     Content content = content(name);
-    byte[] truncated = java.util.Arrays.copyOf(content.bytes(), (int) length);
+    byte[] truncated = Arrays.copyOf(content.bytes(), (int) length);
     content.setBytes(truncated);
     content.syncedBytes = truncated;
   }
@@ -173,6 +174,28 @@
   @Override
   public void close() {}
 
+  private static final class SimulatedReadFile implements ReadFile {
+    private final byte[] bytes;
+
+    SimulatedReadFile(byte[] bytes) {
+      this.bytes = bytes;
+    }
+
+    @Override
+    public long size() {
+      return bytes.length;
+    }
+
+    @Override
+    public byte[] read(long position, int length) {
+      int from = (int) Math.min(position, bytes.length);
+      return Arrays.copyOfRange(bytes, from, Math.min(from + length, bytes.length));
+    }
+
+    @Override
+    public void close() {}
+  }
+
   private final class SimulatedFile implements AppendFile {
     private final Content content;
 
@@ -195,7 +218,7 @@
     @Override
     public void truncate(long length) throws IOException {
       faults.beforeOperation();
-      content.setBytes(java.util.Arrays.copyOf(content.bytes(), (int) length));
+      content.setBytes(Arrays.copyOf(content.bytes(), (int) length));
     }
 
     @Override
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/JournalTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/JournalTest.java
@@ -26,11 +26,11 @@
     journal.append(batch(1));
     journal.append(batch(2));
 
-    Journal.Recovered recovered = open().takeRecovered();
+    RecoveredJournal recovered = RecoveredJournal.open(folder);
 
     assertThat(recovered)
         .isEqualTo(
-            new Journal.Recovered(
+            new RecoveredJournal(
                 LogSnapshot.getDefaultInstance(),
                 2,
                 "replica-b",
@@ -45,7 +45,7 @@
     journal.append(batch(1));
     journal.append(batch(2).toBuilder().setCommitted(1).build());
 
-    assertThat(open().takeRecovered().committed()).isEqualTo(1);
+    assertThat(RecoveredJournal.open(folder).committed()).isEqualTo(1);
   }
 
   @Test
@@ -63,7 +63,7 @@
     LogEntry other = entry(1).toBuilder().setTerm(9).build();
     journal.append(JournalBatch.newBuilder().setTerm(9).addEntries(other).build());
 
-    assertThat(open().takeRecovered().entries()).containsExactly(other);
+    assertThat(RecoveredJournal.open(folder).entries()).containsExactly(other);
   }
 
   @Test
@@ -75,7 +75,7 @@
       each.openForAppend(FILE).write(new byte[] {0x57, 0x42, 0x4A, 0x31, 0, 0, 0, 5, 1, 2, 3});
       each.crash(new SplittableRandom(seed));
 
-      assertThat(Journal.open(each, () -> "x").takeRecovered().entries()).containsExactly(entry(1));
+      assertThat(RecoveredJournal.open(each).entries()).containsExactly(entry(1));
     }
   }
 
@@ -146,7 +146,7 @@
     failing[0] = false;
     // All that was reported as stored is durable.
     each.crash(new SplittableRandom(failAt));
-    Journal.Recovered recovered = Journal.open(each, () -> "replica-a").takeRecovered();
+    RecoveredJournal recovered = RecoveredJournal.open(each);
     assertThat(recovered.snapshot().getIndex()).isEqualTo(6);
     assertThat(recovered.term()).isEqualTo(6);
   }
@@ -201,7 +201,7 @@
       each.crash(new SplittableRandom(crashAt));
     }
     operations[0] = crashAt;
-    Journal.Recovered recovered = Journal.open(each, () -> "replica-a").takeRecovered();
+    RecoveredJournal recovered = RecoveredJournal.open(each);
     assertThat(recovered.snapshot().getIndex() + recovered.entries().size()).isAtLeast(syncedIndex);
     assertThat(recovered.term()).isAtLeast(syncedIndex);
   }
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/ReplicaRunnerTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/ReplicaRunnerTest.java
@@ -69,8 +69,8 @@
     return group.next().submit(replica::role).get();
   }
 
-  private Journal.Recovered reopened() throws IOException {
-    return Journal.open(folder, () -> "another").takeRecovered();
+  private RecoveredJournal reopened() throws IOException {
+    return RecoveredJournal.open(folder);
   }
 
   private Replica replica() throws IOException {
