A replica gets its entries again only once they are known to be lost

Change: a heartbeat to a replica with a request in flight carries no entries. Connections keep the order of messages, so its reply tells that the request was either answered before or is lost, and it is sent again at once.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/LeaderState.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/LeaderState.java
@@ -80,7 +80,8 @@
   }
 
   /**
-   * Sends heartbeats when they are due, and new entries to replicas without a request in flight.
+   * Sends heartbeats when they are due, and new entries or a snapshot to replicas without a request
+   * in flight.
    */
   void replicate(long nowNanos) {
     boolean due = nowNanos - nextHeartbeatNanos >= 0;
@@ -90,7 +91,12 @@
     progress.forEach(
         (to, each) -> {
           boolean behind = each.nextIndex() <= log.lastIndex();
-          if (due || (behind && !each.inFlight())) {
+          if (behind && !each.inFlight()) {
+            send(nowNanos, to, each);
+          } else if (due && behind) {
+            // The reply tells whether the entries in flight were lost.
+            sendBareHeartbeat(nowNanos, to);
+          } else if (due) {
             send(nowNanos, to, each);
           }
         });
@@ -99,10 +105,8 @@
   private void send(long nowNanos, String to, ReplicaProgress each) {
     if (each.nextIndex() > log.baseIndex()) {
       sendEntries(nowNanos, to, each, each.nextIndex() - 1);
-    } else if (each.awaitsSnapshotReply(nowNanos)) {
-      sendBareHeartbeat(nowNanos, to);
     } else {
-      sendSnapshot(nowNanos, to, each);
+      sendSnapshot(nowNanos, to);
     }
     each.recordSent(nowNanos);
   }
@@ -127,8 +131,7 @@
     outgoing.accept(ReplicaMessage.newBuilder().setTo(to).setAppendRequest(request));
   }
 
-  private void sendSnapshot(long nowNanos, String to, ReplicaProgress each) {
-    each.recordSnapshotSent(nowNanos);
+  private void sendSnapshot(long nowNanos, String to) {
     outgoing.accept(
         ReplicaMessage.newBuilder()
             .setTo(to)
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaProgress.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaProgress.java
@@ -9,8 +9,6 @@
   private boolean hasAnyReply;
   private boolean inFlight;
   private long inFlightSendNanos;
-  private boolean snapshotInFlight;
-  private long snapshotSendNanos;
 
   ReplicaProgress(long nextIndex, long nowNanos) {
     this.nextIndex = nextIndex;
@@ -40,6 +38,7 @@
     return acknowledgedSendNanos;
   }
 
+  /** Returns whether a request is on its way that the replica has not replied to. */
   boolean inFlight() {
     return inFlight;
   }
@@ -49,16 +48,6 @@
     inFlightSendNanos = nowNanos;
   }
 
-  void recordSnapshotSent(long nowNanos) {
-    snapshotInFlight = true;
-    snapshotSendNanos = nowNanos;
-  }
-
-  /** Returns whether a snapshot without a reply was sent too recently to be sent again. */
-  boolean awaitsSnapshotReply(long nowNanos) {
-    return snapshotInFlight && nowNanos - snapshotSendNanos < ReplicaTimings.SNAPSHOT_RETRY_NANOS;
-  }
-
   /** Records a reply of any kind. */
   void recordReply(long nowNanos, long sendNanos) {
     lastReplyNanos = nowNanos;
@@ -75,9 +64,6 @@
   void recordMatch(long index) {
     matchIndex = Math.max(matchIndex, index);
     nextIndex = Math.max(nextIndex, matchIndex + 1);
-    if (index > 0) {
-      snapshotInFlight = false;
-    }
   }
 
   /** Records that the replica's log does not match the entry before the next index. */
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaTimings.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaTimings.java
@@ -42,9 +42,6 @@
   /** Time without replies from a majority after which a leader steps down. */
   static final long QUORUM_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
-  /** Time without a reply after which a snapshot is sent again. */
-  static final long SNAPSHOT_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
-
   /** Time after which a write that has failed is tried again. */
   static final long WRITE_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
