A replica does not end when members leave the log while they are connected

Cause: closing a channel on the event loop removes its connection from the map at once, while connectTo iterated over that map (ConcurrentModificationException). The exception ends the replica's timer and with it the process. The log did not name the exception.

Change: the connections to close are copied first; replica-failed names its cause. Test: ReplicaConnectionsTest; before: ConcurrentModificationException.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
@@ -421,7 +421,9 @@
           "replica",
           journal.replicaId(),
           "reason",
-          reason.getMessage());
+          reason.getMessage(),
+          "cause",
+          reason.getCause());
       onFailure.run();
     }
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaConnections.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaConnections.java
@@ -19,12 +19,14 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.waxwingbeam.control.net.Channels;
 import org.waxwingbeam.control.net.MessageFraming;
 import org.waxwingbeam.control.net.TcpKeepalive;
@@ -102,13 +104,11 @@
     addresses.stream()
         .filter(each -> !outboundByAddress.containsKey(each.toString()))
         .forEach(this::connect);
-    outboundByAddress.forEach(
-        (address, each) -> {
-          boolean wanted = addresses.stream().anyMatch(one -> one.toString().equals(address));
-          if (!wanted) {
-            each.channel().ifPresent(Channels::close);
-          }
-        });
+    Set<String> wanted = addresses.stream().map(Endpoint::toString).collect(Collectors.toSet());
+    // Closing a channel removes its connection from the map.
+    List.copyOf(outboundByAddress.entrySet()).stream()
+        .filter(each -> !wanted.contains(each.getKey()))
+        .forEach(each -> each.getValue().channel().ifPresent(Channels::close));
   }
 
   private void connect(Endpoint address) {
