A lost voter is replaced within the time that the settings give its successor

A machine that is gone stops counting as lost `catchUp` (4 s) after the start of its successor.

Cause: a voter was replaced after 6 s of silence, counted only from 1.5 s after its last reply, or from the start of the leader's term: 7.5 s and more. No setting was read. The log shows that the successor was a learner 1.3 s after its start (membership-changed) and nothing changed until the disks were lost, which rules out a slow join.

Change: `catchUp` is read. A learner that has joined lately replaces a voter after catchUp / 2 of silence, counted from its last reply; any other learner is a spare and waits 2 catchUp, so that voters that stand still for seconds keep their place. Leaders tell the others which voters are silent, so that a new leader goes on counting. The longest silent voter goes first. A learner has caught up only if it lacks little in bytes too; a replica to which there is no connection is not added again. One line, voter-replaced, tells why.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
@@ -93,6 +93,8 @@
    * @param mayCreate whether the replica may create the log: on the first start of the system only
    * @param wantedVoters the number of voters to reach
    * @param reportIntervalMs time between two reports of a target
+   * @param catchUpMs time from the start of a replica within which it must have taken the place of
+   *     a voter that is gone
    */
   public record Settings(
       InstanceName instance,
@@ -102,7 +104,8 @@
       Path dataFolder,
       boolean mayCreate,
       int wantedVoters,
-      long reportIntervalMs) {
+      long reportIntervalMs,
+      long catchUpMs) {
     /** Copies the list of seeds. */
     public Settings {
       seeds = List.copyOf(seeds);
@@ -135,7 +138,10 @@
             settings.entryAddress(),
             settings.seeds(),
             NO_CREDENTIAL,
-            new ReplicaRunner.MembershipPolicy(settings.mayCreate(), settings.wantedVoters()));
+            new ReplicaRunner.MembershipPolicy(
+                settings.mayCreate(),
+                settings.wantedVoters(),
+                settings.catchUpMs() * NANOS_PER_MS));
     runner = new ReplicaRunner(group, replica, runnerSettings, new ReplicaListener());
     moveRunner = new MoveRunner(replicatedState.routing(), this::propose);
     feed = new FeedServer(group, settings.entryAddress(), new FeedSource(), this::receiveFrame);
--- a/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/routed/ControlSettingsTest.java
+++ b/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/routed/ControlSettingsTest.java
@@ -25,7 +25,8 @@
             Path.of("data"),
             true,
             3,
-            intervalMs);
+            intervalMs,
+            4_000);
 
     assertThat(settings.readyLifetimeNanos()).isEqualTo(TimeUnit.SECONDS.toNanos(seconds));
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/LeaderState.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/LeaderState.java
@@ -14,6 +14,7 @@
 import org.waxwingbeam.wire.replica.Membership;
 import org.waxwingbeam.wire.replica.ReplicaMember;
 import org.waxwingbeam.wire.replica.ReplicaMessage;
+import org.waxwingbeam.wire.replica.SilentVoter;
 import org.waxwingbeam.wire.replica.SnapshotRequest;
 
 /**
@@ -24,10 +25,19 @@
   private static final int MAX_ENTRIES = 256;
   private static final int MAX_ENTRIES_BYTES = 1 << 20;
 
+  /** Entries by which a replica may lag behind the leader and still count as caught up. */
+  private static final long MAX_LAG_ENTRIES = 100;
+
+  /** Silence from which on other replicas are told of it: two heartbeats without a reply. */
+  private static final long REPORTED_SILENCE_NANOS = 2 * ReplicaTimings.HEARTBEAT_NANOS;
+
+  private static final long NANOS_PER_MS = 1_000_000;
+
   private final String id;
   private final long term;
   private final ReplicaLog log;
   private final long startIndex;
+  private final long startNanos;
   private final Snapshots snapshots;
   private final Consumer<ReplicaMessage.Builder> outgoing;
   private final Map<String, ReplicaProgress> progress = new TreeMap<>();
@@ -39,12 +49,18 @@
     LogSnapshot take();
   }
 
+  /**
+   * Creates the state of a leader whose term begins.
+   *
+   * @param lastContacts when the other replicas were last heard of
+   */
   LeaderState(
       String id,
       long term,
       ReplicaLog log,
       Snapshots snapshots,
       Consumer<ReplicaMessage.Builder> outgoing,
+      LastContacts lastContacts,
       long nowNanos) {
     this.id = id;
     this.term = term;
@@ -52,8 +68,15 @@
     this.snapshots = snapshots;
     this.outgoing = outgoing;
     startIndex = log.lastIndex() + 1;
+    startNanos = nowNanos;
     nextHeartbeatNanos = nowNanos;
-    trackMembers(nowNanos);
+    others(log.membership())
+        .forEach(
+            each ->
+                progress.put(
+                    each,
+                    new ReplicaProgress(
+                        startIndex, lastContacts.lastContactNanos(nowNanos, each))));
   }
 
   /** Returns the index of the first entry of this term. */
@@ -114,23 +137,40 @@
   private void sendEntries(long nowNanos, String to, ReplicaProgress each, long previous) {
     List<LogEntry> entries = log.slice(each.nextIndex(), MAX_ENTRIES, MAX_ENTRIES_BYTES);
     sendAppend(
+        nowNanos,
         to,
         AppendRequest.newBuilder()
             .setPreviousIndex(previous)
             .setPreviousTerm(log.termAt(previous))
             .addAllEntries(entries)
-            .setCommitIndex(commitIndex)
-            .setSentNanos(nowNanos));
+            .setCommitIndex(commitIndex));
   }
 
   private void sendBareHeartbeat(long nowNanos, String to) {
-    sendAppend(to, AppendRequest.newBuilder().setSentNanos(nowNanos));
+    sendAppend(nowNanos, to, AppendRequest.newBuilder());
   }
 
-  private void sendAppend(String to, AppendRequest.Builder request) {
+  private void sendAppend(long nowNanos, String to, AppendRequest.Builder request) {
+    request.setSentNanos(nowNanos).addAllSilentVoters(silentVoters(nowNanos));
     outgoing.accept(ReplicaMessage.newBuilder().setTo(to).setAppendRequest(request));
   }
 
+  private List<SilentVoter> silentVoters(long nowNanos) {
+    return log.membership().getVotersList().stream()
+        .map(ReplicaMember::getId)
+        .filter(each -> silenceNanos(nowNanos, each) >= REPORTED_SILENCE_NANOS)
+        .map(
+            each ->
+                SilentVoter.newBuilder()
+                    .setId(each)
+                    .setSilentMs(
+                        (int)
+                            Math.min(
+                                Integer.MAX_VALUE, silenceNanos(nowNanos, each) / NANOS_PER_MS))
+                    .build())
+        .toList();
+  }
+
   private void sendSnapshot(long nowNanos, String to) {
     outgoing.accept(
         ReplicaMessage.newBuilder()
@@ -222,6 +262,36 @@
     return nowNanos - each.lastReplyNanos() < ReplicaTimings.QUORUM_TIMEOUT_NANOS;
   }
 
+  /**
+   * Returns for how long another member has not been heard of, by this leader or an earlier one; 0
+   * for this replica and for one that is no member.
+   */
+  long silenceNanos(long nowNanos, String replica) {
+    ReplicaProgress each = progress.get(replica);
+    return each == null ? 0 : Math.max(0, nowNanos - each.lastReplyNanos());
+  }
+
+  /**
+   * Returns whether this replica has led for long enough that every running voter should have
+   * replied to it.
+   */
+  boolean hasHeardAllRunning(long nowNanos) {
+    return nowNanos - startNanos >= 2 * ReplicaTimings.HEARTBEAT_NANOS;
+  }
+
+  /** Returns whether another replica replies and lacks few entries, of few bytes. */
+  boolean isCaughtUp(long nowNanos, String replica) {
+    return progress(replica)
+        .filter(each -> isResponsive(nowNanos, replica))
+        .map(ReplicaProgress::matchIndex)
+        .filter(
+            matched ->
+                matched >= log.baseIndex()
+                    && log.lastIndex() - matched <= MAX_LAG_ENTRIES
+                    && log.bytesAfter(matched) <= MAX_ENTRIES_BYTES)
+        .isPresent();
+  }
+
   /** Returns the replication progress of another replica, if it is a member. */
   Optional<ReplicaProgress> progress(String replica) {
     return Optional.ofNullable(progress.get(replica));
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/MembershipCoordinator.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/MembershipCoordinator.java
@@ -13,9 +13,6 @@
  * @since 0.1.0
  */
 public final class MembershipCoordinator {
-  /** Entries by which a learner may lag behind the leader and still count as caught up. */
-  static final long MAX_LAG_ENTRIES = 100;
-
   private final Replica replica;
   private boolean changeRunning;
 
@@ -154,15 +151,18 @@
             .flatMap(each -> each.progress(newId))
             .map(ReplicaProgress::matchIndex)
             .orElse(0L);
-    boolean caughtUp =
-        replica.lastIndex() - matched <= MAX_LAG_ENTRIES && isResponsive(nowNanos, newId);
-    return caughtUp
+    return isCaughtUp(nowNanos, newId)
         ? Optional.empty()
         : Optional.of(
             "replica '%s': expected a learner that has caught up; it holds %d of %d entries"
                 .formatted(newId, matched, replica.lastIndex()));
   }
 
+  /** Returns whether a replica replies to this leader and lacks few entries of the log. */
+  boolean isCaughtUp(long nowNanos, String id) {
+    return replica.leaderState().filter(each -> each.isCaughtUp(nowNanos, id)).isPresent();
+  }
+
   private boolean isResponsive(long nowNanos, String id) {
     return replica.leaderState().filter(each -> each.isResponsive(nowNanos, id)).isPresent();
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Replica.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Replica.java
@@ -47,6 +47,7 @@
   private final Consumer<LogEntry> appliedListener;
   private final ReplicaElection election;
   private final ElectionTimer timer;
+  private final LastContacts lastContacts = new LastContacts();
   private final PendingProposals proposals = new PendingProposals();
   private final PendingConfirmations confirmations = new PendingConfirmations();
   private List<ReplicaMessage> outgoing = new ArrayList<>();
@@ -54,6 +55,7 @@
   private Optional<String> leaderId = Optional.empty();
   private ReplicaRole role = ReplicaRole.FOLLOWER;
   private LeaderTerm leaderTerm = new LeaderTerm(0, 0);
+  private boolean resigned;
   private Optional<IOException> suspension = Optional.empty();
   private long nextWriteNanos;
   private long nextCompactionNanos;
@@ -246,6 +248,7 @@
     if (isSuspended() || !message.getTo().equals(id)) {
       return;
     }
+    lastContacts.record(nowNanos, message.getFrom());
     boolean keepsLeader = role == ReplicaRole.LEADER || timer.hasRecentLeaderContact(nowNanos);
     if (message.hasVoteRequest() && keepsLeader) {
       send(election.reply(message, false));
@@ -325,7 +328,9 @@
     leaderTerm = new LeaderTerm(nowNanos, timer.leaderContactNanos());
     leaderId = Optional.of(id);
     leaderState =
-        Optional.of(new LeaderState(id, term(), log, this::takeSnapshot, this::send, nowNanos));
+        Optional.of(
+            new LeaderState(
+                id, term(), log, this::takeSnapshot, this::send, lastContacts, nowNanos));
     durableLog.append(
         Command.newBuilder().setNoOperation(NoOperation.getDefaultInstance()).build());
   }
@@ -337,6 +342,7 @@
       return;
     }
     followLeader(nowNanos, message.getFrom());
+    lastContacts.recordReport(nowNanos, message.getFrom(), request.getSilentVotersList());
     Optional<Long> mismatch = log.mismatch(request, commitIndex);
     if (mismatch.isPresent()) {
       reply(message, request.getSentNanos(), false, mismatch.get());
@@ -406,7 +412,7 @@
         becomeFollower(nowNanos, Optional.empty());
       }
     } else if (timer.isDue(nowNanos) || isOnlyVoter()) {
-      if (Memberships.isVoter(log.membership(), id)) {
+      if (Memberships.isVoter(log.membership(), id) && !resigned) {
         startPreVote(nowNanos);
       } else {
         leaderId = Optional.empty();
@@ -415,6 +421,19 @@
     }
   }
 
+  /**
+   * Steps down as leader, if this replica leads, and starts no election any more. It still votes
+   * and stores entries.
+   *
+   * @param nowNanos the current time
+   */
+  public void resign(long nowNanos) {
+    resigned = true;
+    if (role != ReplicaRole.FOLLOWER) {
+      becomeFollower(nowNanos, Optional.empty());
+    }
+  }
+
   /**
    * Returns whether this replica is the only voter, so that it need not wait for another leader.
    */
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaProgress.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaProgress.java
@@ -10,10 +10,16 @@
   private boolean inFlight;
   private long inFlightSendNanos;
 
-  ReplicaProgress(long nextIndex, long nowNanos) {
+  /**
+   * Creates the progress of a replica that has not replied yet.
+   *
+   * @param nextIndex index of the first entry to send to it
+   * @param lastContactNanos when it was last heard of
+   */
+  ReplicaProgress(long nextIndex, long lastContactNanos) {
     this.nextIndex = nextIndex;
-    lastReplyNanos = nowNanos;
-    acknowledgedSendNanos = nowNanos;
+    lastReplyNanos = lastContactNanos;
+    acknowledgedSendNanos = lastContactNanos;
   }
 
   long nextIndex() {
@@ -24,6 +30,7 @@
     return matchIndex;
   }
 
+  /** Returns when the replica has last replied, or was last heard of before this leader's term. */
   long lastReplyNanos() {
     return lastReplyNanos;
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/VoterSetManager.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/VoterSetManager.java
@@ -1,35 +1,60 @@
 package org.waxwingbeam.replica;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.waxwingbeam.logging.EventLog;
 import org.waxwingbeam.wire.replica.Membership;
 import org.waxwingbeam.wire.replica.ReplicaHello;
 import org.waxwingbeam.wire.replica.ReplicaMember;
 
 /**
  * Brings the number of voters to a configured size without an operator. At the leader, promotes
- * learners while there are too few voters, and lets them replace voters that have lost their disk
- * or have not replied for several seconds.
+ * learners while there are too few voters, and lets them replace voters that have lost their disk,
+ * are leaving or do not reply.
+ *
+ * <p>A learner that has joined lately is taken for the successor of a voter that is gone, and
+ * replaces a silent voter after a short time. Other learners are spares: they replace one only
+ * after a longer silence, so that a voter that stands still for some seconds keeps its place.
  *
  * <pre>{@code
- * VoterSetManager manager = new VoterSetManager(replica, coordinator, 5);
- * manager.tick(nowNanos, knownReplicas.all());
+ * VoterSetManager manager = new VoterSetManager(replica, coordinator, 5, catchUpNanos);
+ * manager.tick(nowNanos, knownReplicas.all(), connections::isLinked);
  * }</pre>
  *
  * @since 0.1.0
  */
 public final class VoterSetManager {
-  /** Time without a reply after which a voter is replaced by a learner. */
-  private static final long VOTER_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(6);
+  private static final EventLog LOG = new EventLog(VoterSetManager.class);
+  private static final long NANOS_PER_MS = 1_000_000;
 
   private final Replica replica;
   private final MembershipCoordinator coordinator;
   private final int wantedVoters;
-  private final Map<String, Long> lastReplyNanos = new HashMap<>();
-  private long leadingTerm;
+  private final Timeouts timeouts;
+  private final Map<String, Long> firstSeenNanos = new HashMap<>();
+
+  /**
+   * Silences after which voters are replaced.
+   *
+   * @param successorNanos silence after which a successor replaces a voter
+   * @param spareNanos silence after which any other learner replaces a voter
+   * @param joinNanos time from its first hello during which a learner counts as a successor
+   */
+  private record Timeouts(long successorNanos, long spareNanos, long joinNanos) {
+    /** Leaves half of the time for the start of the successor and the election of a leader. */
+    static Timeouts of(long catchUpNanos) {
+      return new Timeouts(
+          Math.max(ReplicaTimings.QUORUM_TIMEOUT_NANOS, catchUpNanos / 2),
+          Math.max(ReplicaTimings.QUORUM_TIMEOUT_NANOS, 2 * catchUpNanos),
+          2 * catchUpNanos);
+    }
+  }
 
   /**
    * Creates a manager that does nothing until the first {@link #tick}.
@@ -37,54 +62,55 @@
    * @param replica the local replica
    * @param coordinator proposes the membership changes
    * @param wantedVoters the number of voters to reach
+   * @param catchUpNanos time from the start of a successor within which it must have replaced a
+   *     voter that is gone
    */
-  public VoterSetManager(Replica replica, MembershipCoordinator coordinator, int wantedVoters) {
+  public VoterSetManager(
+      Replica replica, MembershipCoordinator coordinator, int wantedVoters, long catchUpNanos) {
     this.replica = replica;
     this.coordinator = coordinator;
     this.wantedVoters = wantedVoters;
+    timeouts = Timeouts.of(catchUpNanos);
   }
 
   /**
-   * Proposes one change of the membership, if one is needed and none is under way.
+   * Proposes one change of the membership, if this replica leads, one is needed and none is under
+   * way. Must also be called while it does not lead, so that it knows when other replicas joined.
    *
    * @param nowNanos the current time
-   * @param hellos the hellos of the other replicas
+   * @param hellos the newest hellos of the other replicas
+   * @param isLinked returns whether there is a connection with the replica that has an id
    */
-  public void tick(long nowNanos, List<ReplicaHello> hellos) {
+  public void tick(long nowNanos, List<ReplicaHello> hellos, Predicate<String> isLinked) {
+    hellos.forEach(each -> firstSeenNanos.putIfAbsent(each.getMember().getId(), nowNanos));
     if (replica.role() != ReplicaRole.LEADER) {
       return;
     }
-    recordReplies(nowNanos);
-    hellos.forEach(hello -> coordinator.addLearnerOrUpdateAddress(hello.getMember(), true));
-    Membership membership = replica.membership();
+    hellos.forEach(
+        each ->
+            coordinator.addLearnerOrUpdateAddress(
+                each.getMember(), isLinked.test(each.getMember().getId())));
     if (!replica.mayChangeMembership()) {
       return;
     }
-    if (removeLeftoverVoter(nowNanos, membership)) {
+    Set<String> leaving =
+        hellos.stream()
+            .filter(ReplicaHello::getLeaving)
+            .map(each -> each.getMember().getId())
+            .collect(Collectors.toSet());
+    Membership membership = replica.membership();
+    if (removeLeftoverVoter(nowNanos, membership, leaving)) {
       return;
     }
     membership.getLearnersList().stream()
-        .filter(each -> isCaughtUp(nowNanos, each))
-        .findFirst()
-        .ifPresent(learner -> promote(nowNanos, membership, learner));
+        .filter(each -> !leaving.contains(each.getId()))
+        .filter(each -> coordinator.isCaughtUp(nowNanos, each.getId()))
+        .max(Comparator.comparingLong(each -> joinedNanos(nowNanos, each)))
+        .ifPresent(learner -> promote(nowNanos, membership, learner, leaving));
   }
 
-  private void recordReplies(long nowNanos) {
-    if (leadingTerm != replica.term()) {
-      leadingTerm = replica.term();
-      lastReplyNanos.clear();
-    }
-    replica
-        .membership()
-        .getVotersList()
-        .forEach(
-            voter -> {
-              if (isResponsive(nowNanos, voter)) {
-                lastReplyNanos.put(voter.getId(), nowNanos);
-              } else {
-                lastReplyNanos.putIfAbsent(voter.getId(), nowNanos);
-              }
-            });
+  private long joinedNanos(long nowNanos, ReplicaMember learner) {
+    return firstSeenNanos.getOrDefault(learner.getId(), nowNanos);
   }
 
   private boolean isResponsive(long nowNanos, ReplicaMember member) {
@@ -94,28 +120,46 @@
         .isPresent();
   }
 
-  private boolean hasTimedOut(long nowNanos, ReplicaMember voter) {
-    return nowNanos - lastReplyNanos.getOrDefault(voter.getId(), nowNanos) > VOTER_TIMEOUT_NANOS;
+  /** Returns for how long a voter has been silent, or 0 until this leader can tell. */
+  private long silenceNanos(long nowNanos, ReplicaMember voter) {
+    return replica
+        .leaderState()
+        .filter(each -> each.hasHeardAllRunning(nowNanos))
+        .map(each -> each.silenceNanos(nowNanos, voter.getId()))
+        .orElse(0L);
+  }
+
+  /** Returns the voter that has been silent for longest of those that match a condition. */
+  private Optional<ReplicaMember> longestSilent(
+      long nowNanos, Membership membership, Predicate<ReplicaMember> condition) {
+    return membership.getVotersList().stream()
+        .filter(each -> !each.getId().equals(replica.id()))
+        .filter(condition)
+        .max(Comparator.comparingLong(each -> silenceNanos(nowNanos, each)));
   }
 
   /**
-   * Removes a voter that an interrupted replacement has left: it does not reply, and there are too
-   * many voters or another voter has its address.
+   * Removes a voter that an interrupted replacement has left: it does not reply or is leaving, and
+   * there are too many voters or another voter has its address.
    */
-  private boolean removeLeftoverVoter(long nowNanos, Membership membership) {
+  private boolean removeLeftoverVoter(long nowNanos, Membership membership, Set<String> leaving) {
+    boolean tooMany = membership.getVotersCount() > wantedVoters;
     Optional<ReplicaMember> leftover =
-        membership.getVotersList().stream()
-            .filter(each -> !each.getId().equals(replica.id()) && !isResponsive(nowNanos, each))
-            .filter(
-                each ->
-                    membership.getVotersCount() > wantedVoters
-                        || membership.getVotersList().stream()
-                            .anyMatch(other -> isReplacedBy(each, other)))
-            .findFirst();
+        longestSilent(
+            nowNanos,
+            membership,
+            each ->
+                (tooMany && leaving.contains(each.getId()))
+                    || (silenceNanos(nowNanos, each) >= ReplicaTimings.QUORUM_TIMEOUT_NANOS
+                        && (tooMany || hasSuccessorAtItsAddress(membership, each))));
     leftover.ifPresent(each -> coordinator.removeVoter(nowNanos, each.getId()));
     return leftover.isPresent();
   }
 
+  private static boolean hasSuccessorAtItsAddress(Membership membership, ReplicaMember voter) {
+    return membership.getVotersList().stream().anyMatch(other -> isReplacedBy(voter, other));
+  }
+
   /** Returns whether another replica has a voter's address, as after the loss of its disk. */
   private static boolean isReplacedBy(ReplicaMember voter, ReplicaMember other) {
     return !other.getId().equals(voter.getId())
@@ -123,35 +167,54 @@
         && other.getPort() == voter.getPort();
   }
 
-  private boolean isCaughtUp(long nowNanos, ReplicaMember learner) {
-    long matched =
-        replica
-            .leaderState()
-            .flatMap(each -> each.progress(learner.getId()))
-            .map(ReplicaProgress::matchIndex)
-            .orElse(0L);
-    return isResponsive(nowNanos, learner)
-        && replica.lastIndex() - matched <= MembershipCoordinator.MAX_LAG_ENTRIES;
-  }
-
-  private void promote(long nowNanos, Membership membership, ReplicaMember learner) {
-    Optional<ReplicaMember> replaced =
-        membership.getVotersList().stream()
-            .filter(each -> isReplacedBy(each, learner) && !isResponsive(nowNanos, each))
-            .findFirst();
-    if (replaced.isPresent()) {
-      replace(nowNanos, replaced.get(), learner);
+  private void promote(
+      long nowNanos, Membership membership, ReplicaMember learner, Set<String> leaving) {
+    Optional<ReplicaMember> lostDisk =
+        longestSilent(
+            nowNanos,
+            membership,
+            each -> isReplacedBy(each, learner) && !isResponsive(nowNanos, each));
+    if (lostDisk.isPresent()) {
+      replace(nowNanos, lostDisk.get(), learner);
     } else if (membership.getVotersCount() < wantedVoters) {
       coordinator.addVoter(nowNanos, learner.getId());
     } else {
-      membership.getVotersList().stream()
-          .filter(each -> !each.getId().equals(replica.id()) && hasTimedOut(nowNanos, each))
-          .findFirst()
+      long timeout = silenceTimeoutNanos(nowNanos, learner);
+      longestSilent(
+              nowNanos,
+              membership,
+              each -> leaving.contains(each.getId()) || silenceNanos(nowNanos, each) >= timeout)
           .ifPresent(each -> replace(nowNanos, each, learner));
     }
   }
 
+  private long silenceTimeoutNanos(long nowNanos, ReplicaMember learner) {
+    boolean isSuccessor = nowNanos - joinedNanos(nowNanos, learner) < timeouts.joinNanos();
+    return isSuccessor ? timeouts.successorNanos() : timeouts.spareNanos();
+  }
+
   private void replace(long nowNanos, ReplicaMember voter, ReplicaMember learner) {
-    coordinator.replace(nowNanos, voter.getId(), learner.getId(), outcome -> {});
+    long silentMs = silenceNanos(nowNanos, voter) / NANOS_PER_MS;
+    long joinedMsAgo = (nowNanos - joinedNanos(nowNanos, learner)) / NANOS_PER_MS;
+    coordinator.replace(
+        nowNanos,
+        voter.getId(),
+        learner.getId(),
+        outcome -> {
+          if (!(outcome instanceof ProposalOutcome.Refused)) {
+            LOG.info(
+                "voter-replaced",
+                "voter",
+                voter.getId(),
+                "silent_ms",
+                silentMs,
+                "learner",
+                learner.getId(),
+                "joined_ms_ago",
+                joinedMsAgo,
+                "outcome",
+                outcome);
+          }
+        });
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaConnections.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaConnections.java
@@ -55,6 +55,7 @@
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final Map<String, OutboundConnection> outboundByAddress = new TreeMap<>();
   private final Map<String, Channel> channelById = new HashMap<>();
+  private final Map<Channel, String> idByChannel = new HashMap<>();
 
   /** A connection opened by this replica; it has no channel until it is established. */
   private record OutboundConnection(Optional<Channel> channel) {}
@@ -161,6 +162,11 @@
     }
   }
 
+  /** Returns whether there is a connection with a replica, whichever of the two has opened it. */
+  public boolean isLinked(String id) {
+    return idByChannel.containsValue(id);
+  }
+
   private boolean isOutbound(Channel channel) {
     return outboundByAddress.values().stream()
         .anyMatch(each -> each.channel().equals(Optional.of(channel)));
@@ -203,6 +209,7 @@
       }
       boolean first = !authenticated;
       authenticated = true;
+      idByChannel.put(channel, hello.getMember().getId());
       if (isOutbound(channel)) {
         boolean alreadyRegistered =
             channel.equals(channelById.put(hello.getMember().getId(), channel));
@@ -220,6 +227,11 @@
       helloReceiver.accept(hello.toBuilder().clearToken().build());
     }
 
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      idByChannel.remove(context.channel());
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       Channels.close(context.channel());
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaRunner.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaRunner.java
@@ -84,10 +84,12 @@
    *
    * @param mayCreate whether this replica may create a log
    * @param wantedVoters the number of voters to reach; 0 leaves every change to operators
+   * @param catchUpNanos time from the start of a replica within which it must have taken the place
+   *     of a voter that is gone
    */
-  public record MembershipPolicy(boolean mayCreate, int wantedVoters) {
+  public record MembershipPolicy(boolean mayCreate, int wantedVoters, long catchUpNanos) {
     /** Operators make every change. */
-    public static final MembershipPolicy BY_OPERATORS = new MembershipPolicy(true, 0);
+    public static final MembershipPolicy BY_OPERATORS = new MembershipPolicy(true, 0, 0);
   }
 
   /** Receives the replica's events, on its event loop. */
@@ -124,7 +126,10 @@
         new KnownReplicas(settings.initialAddresses(), settings.membershipPolicy().mayCreate());
     voterSetManager =
         new VoterSetManager(
-            replica, membershipCoordinator, settings.membershipPolicy().wantedVoters());
+            replica,
+            membershipCoordinator,
+            settings.membershipPolicy().wantedVoters(),
+            settings.membershipPolicy().catchUpNanos());
     connections =
         new ReplicaConnections(
             group,
@@ -186,7 +191,7 @@
           .ifPresent(replica::createLog);
     }
     if (settings.membershipPolicy().wantedVoters() > 0) {
-      voterSetManager.tick(now, knownReplicas.all());
+      voterSetManager.tick(now, knownReplicas.all(), connections::isLinked);
     } else {
       knownReplicas
           .all()
