A successor finds the leader through any member of the log

Cause: a new replica says hello to its seeds only, and only a leader adds it.

Change: hellos name the members of the log. A replica without contact to a leader connects to them, and gets a hello again for each of its own while it has not joined.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/KnownReplicas.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/KnownReplicas.java
@@ -71,6 +71,13 @@
     return List.copyOf(helloByAddress.values());
   }
 
+  /** Returns the addresses of the members of the log that other replicas have reported. */
+  public Stream<Endpoint> reportedAddresses() {
+    return helloByAddress.values().stream()
+        .flatMap(hello -> hello.getMembersList().stream())
+        .map(KnownReplicas::address);
+  }
+
   /** Returns the newest hello of the replica with an id. */
   public Optional<ReplicaHello> byId(String id) {
     return helloByAddress.values().stream()
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaConnections.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaConnections.java
@@ -221,7 +221,8 @@
               "at",
               channel.remoteAddress());
         }
-      } else if (first) {
+      } else if (first || hello.getFresh()) {
+        // A replica that has not joined yet looks for members that may lead by now.
         sendHello(channel);
       }
       helloReceiver.accept(hello.toBuilder().clearToken().build());
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaRunner.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaRunner.java
@@ -171,6 +171,8 @@
         .setMember(member())
         .setFresh(replica.isUninitialized())
         .setMayJoin(replica.mayJoin())
+        .addAllMembers(replica.membership().getVotersList())
+        .addAllMembers(replica.membership().getLearnersList())
         .setEntriesHost(settings.entryAddress().host())
         .setEntriesPort(settings.entryAddress().port())
         .build();
@@ -183,7 +185,7 @@
 
   private void tick() {
     long now = System.nanoTime();
-    connections.connectTo(otherAddresses());
+    connections.connectTo(otherAddresses(now));
     announceIfDue(now);
     if (replica.isUninitialized()) {
       knownReplicas
@@ -216,14 +218,17 @@
     }
   }
 
-  private Set<Endpoint> otherAddresses() {
+  private Set<Endpoint> otherAddresses(long nowNanos) {
     Stream<Endpoint> members =
         Stream.concat(
                 replica.membership().getVotersList().stream(),
                 replica.membership().getLearnersList().stream())
             .map(KnownReplicas::address);
+    Stream<Endpoint> reported =
+        replica.hasQuorumContact(nowNanos) ? Stream.empty() : knownReplicas.reportedAddresses();
     Endpoint own = KnownReplicas.address(member());
-    return Stream.of(settings.initialAddresses().stream(), addedAddresses.stream(), members)
+    return Stream.of(
+            settings.initialAddresses().stream(), addedAddresses.stream(), members, reported)
         .flatMap(each -> each)
         .filter(each -> !each.equals(own) && each.port() > 0)
         .collect(Collectors.toSet());
