--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
@@ -7,6 +7,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -355,6 +356,15 @@
     runner.addAddresses(seeds);
   }
 
+  /**
+   * Lets a learner take this replica's place as a voter, if there is one.
+   *
+   * @return completed when this replica may end
+   */
+  public CompletableFuture<Void> leave() {
+    return runner.leave();
+  }
+
   @Override
   public void close() {
     feed.close();
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaRunner.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaRunner.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -19,6 +20,7 @@
 import org.waxwingbeam.replica.VoterSetManager;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.wire.replica.Command;
+import org.waxwingbeam.wire.replica.Membership;
 import org.waxwingbeam.wire.replica.ReplicaHello;
 import org.waxwingbeam.wire.replica.ReplicaMember;
 import org.waxwingbeam.wire.replica.ReplicaMessage;
@@ -48,6 +50,7 @@
   private long notifiedTerm;
   private long notifiedIndex;
   private long nextAnnounceNanos;
+  private Optional<CompletableFuture<Void>> departure = Optional.empty();
 
   /**
    * The addresses of a replica, its credential and its membership policy.
@@ -171,6 +174,7 @@
         .setMember(member())
         .setFresh(replica.isUninitialized())
         .setMayJoin(replica.mayJoin())
+        .setLeaving(departure.isPresent())
         .addAllMembers(replica.membership().getVotersList())
         .addAllMembers(replica.membership().getLearnersList())
         .setEntriesHost(settings.entryAddress().host())
@@ -204,9 +208,38 @@
     }
     replica.tick(now);
     flush();
+    departure.filter(leaves -> mayDepart()).ifPresent(leaves -> leaves.complete(null));
     listener.onTick(now);
   }
 
+  /**
+   * Tells the other replicas that this one is about to end, so that a learner takes its place
+   * before that; must be called on the event loop, once.
+   *
+   * @return completed when this replica does not vote any more, or no learner can replace it
+   */
+  public CompletableFuture<Void> leave() {
+    CompletableFuture<Void> leaves = new CompletableFuture<>();
+    departure = Optional.of(leaves);
+    connections.announce();
+    if (mayDepart()) {
+      leaves.complete(null);
+    } else {
+      replica.resign(System.nanoTime());
+    }
+    return leaves;
+  }
+
+  private boolean mayDepart() {
+    Membership membership = replica.membership();
+    boolean votes =
+        membership.getVotersList().stream().anyMatch(each -> each.getId().equals(replica.id()));
+    return !votes
+        || membership.getLearnersList().stream()
+            .map(ReplicaMember::getId)
+            .noneMatch(connections::isLinked);
+  }
+
   private void announceIfDue(long now) {
     boolean changed =
         (wasUninitialized && !replica.isUninitialized()) || couldJoin != replica.mayJoin();
