--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
@@ -7,7 +7,6 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -359,10 +358,10 @@
   /**
    * Lets a learner take this replica's place as a voter, if there is one.
    *
-   * @return completed when this replica may end
+   * @param mayEnd called once, when this replica may end
    */
-  public CompletableFuture<Void> leave() {
-    return runner.leave();
+  public void leave(Runnable mayEnd) {
+    runner.leave(mayEnd);
   }
 
   @Override
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaRunner.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaRunner.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -50,7 +49,8 @@
   private long notifiedTerm;
   private long notifiedIndex;
   private long nextAnnounceNanos;
-  private Optional<CompletableFuture<Void>> departure = Optional.empty();
+  private boolean leaving;
+  private Optional<Runnable> departureListener = Optional.empty();
 
   /**
    * The addresses of a replica, its credential and its membership policy.
@@ -174,7 +174,7 @@
         .setMember(member())
         .setFresh(replica.isUninitialized())
         .setMayJoin(replica.mayJoin())
-        .setLeaving(departure.isPresent())
+        .setLeaving(leaving)
         .addAllMembers(replica.membership().getVotersList())
         .addAllMembers(replica.membership().getLearnersList())
         .setEntriesHost(settings.entryAddress().host())
@@ -208,7 +208,7 @@
     }
     replica.tick(now);
     flush();
-    departure.filter(leaves -> mayDepart()).ifPresent(leaves -> leaves.complete(null));
+    notifyIfMayDepart();
     listener.onTick(now);
   }
 
@@ -216,18 +216,26 @@
    * Tells the other replicas that this one is about to end, so that a learner takes its place
    * before that; must be called on the event loop, once.
    *
-   * @return completed when this replica does not vote any more, or no learner can replace it
+   * @param mayEnd called once, when this replica does not vote any more, or no learner can replace
+   *     it
    */
-  public CompletableFuture<Void> leave() {
-    CompletableFuture<Void> leaves = new CompletableFuture<>();
-    departure = Optional.of(leaves);
+  public void leave(Runnable mayEnd) {
+    leaving = true;
+    departureListener = Optional.of(mayEnd);
     connections.announce();
-    if (mayDepart()) {
-      leaves.complete(null);
-    } else {
+    if (!mayDepart()) {
       replica.resign(System.nanoTime());
     }
-    return leaves;
+    notifyIfMayDepart();
+  }
+
+  private void notifyIfMayDepart() {
+    Optional<Runnable> notified = departureListener.filter(listener -> mayDepart());
+    notified.ifPresent(
+        listener -> {
+          departureListener = Optional.empty();
+          listener.run();
+        });
   }
 
   private boolean mayDepart() {
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/ReplicaGroup.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/ReplicaGroup.java
@@ -137,7 +137,7 @@
     messages.removeAll(arrived);
     List.copyOf(nodes.values()).stream()
         .filter(each -> !frozen.contains(each.address()))
-        .forEach(each -> step(each, arrived));
+        .forEach(each -> runNode(each, arrived));
     leader()
         .map(address -> nodes.get(address).replica().membership())
         .map(ReplicaGroup::ids)
@@ -153,7 +153,7 @@
     return sent.arrivalMs() <= nowMs && !receiverFrozen;
   }
 
-  private void step(Node node, List<Sent> arrived) {
+  private void runNode(Node node, List<Sent> arrived) {
     Replica replica = node.replica();
     arrived.stream()
         .map(Sent::message)
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/VoterReplacementTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/VoterReplacementTest.java
@@ -83,7 +83,7 @@
   }
 
   @Test
-  void twoLostVotersInARowAreReplacedInTime() throws IOException {
+  void twoVotersLostOneAfterTheOtherAreReplacedInTime() throws IOException {
     int first = follower(0);
     int second = follower(1);
     group.stop(first);
