A connection between replicas that goes silent is replaced

Callers saw orders and reads refused with 'no replica is known to lead' for as long as nobody restarted the control processes: five ran, answered, and none led.

Cause: a replica sends only on connections that it has opened itself, and kept each of them until the operating system closed it. Keep-alive probes of the system are sent on idle connections only; a candidate or leader always has unacknowledged data on the way, which the system retransmits for some 15 minutes. A peer behind a relay or a process that stands still answers the probes while nobody reads. A connection on which no hello was answered stayed for ever as well, as did accepted ones, by which another replica counted as linked.

Now the end that has opened a connection sends pulses, the other end responds to what it receives, and either closes the connection after half of the contact time without a single byte. The next tick opens a new one. The bound comes from the settings' contact. An exception in the handler of a message is logged: it closed the connection without a line.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ControlDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ControlDaemon.java
@@ -12,6 +12,7 @@
 import org.waxwingbeam.concurrent.RepeatingTask;
 import org.waxwingbeam.control.EntryRegistry;
 import org.waxwingbeam.control.EntrySessions;
+import org.waxwingbeam.control.LinkLiveness;
 import org.waxwingbeam.control.net.EntryStreamServer;
 import org.waxwingbeam.daemon.FailingDaemon;
 import org.waxwingbeam.daemon.JournalOpener;
@@ -117,7 +118,11 @@
 
   private ReplicaRunner.Settings runnerSettings(Tokens tokens) {
     return new ReplicaRunner.Settings(
-        settings.replicas(), settings.entries(), settings.initialReplicas(), tokens.processes());
+        settings.replicas(),
+        settings.entries(),
+        settings.initialReplicas(),
+        tokens.processes(),
+        LinkLiveness.Timings.ofContact(settings.contactMs()));
   }
 
   private NotLeader leaderRedirect() {
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.waxwingbeam.control.ClaimTable;
+import org.waxwingbeam.control.LinkLiveness;
 import org.waxwingbeam.control.net.FeedServer;
 import org.waxwingbeam.daemon.JournalOpener;
 import org.waxwingbeam.logging.EventLog;
@@ -95,6 +96,7 @@
    * @param reportIntervalMs time between two reports of a target
    * @param catchUpMs time from the start of a replica within which it must have taken the place of
    *     a voter that is gone
+   * @param contactMs time within which processes that can reach each other must be in contact
    */
   public record Settings(
       InstanceName instance,
@@ -105,7 +107,8 @@
       boolean mayCreate,
       int wantedVoters,
       long reportIntervalMs,
-      long catchUpMs) {
+      long catchUpMs,
+      long contactMs) {
     /** Copies the list of seeds. */
     public Settings {
       seeds = List.copyOf(seeds);
@@ -138,6 +141,7 @@
             settings.entryAddress(),
             settings.seeds(),
             NO_CREDENTIAL,
+            LinkLiveness.Timings.ofContact(settings.contactMs()),
             new ReplicaRunner.MembershipPolicy(
                 settings.mayCreate(),
                 settings.wantedVoters(),
--- a/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/control/ControlClusterTest.java
+++ b/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/control/ControlClusterTest.java
@@ -203,7 +203,8 @@
         new Endpoint("127.0.0.1", 0),
         addresses.subList(0, REPLICAS),
         Files.writeString(folder.resolve("token"), TOKEN),
-        Files.writeString(folder.resolve("operator-token"), OPERATOR_TOKEN));
+        Files.writeString(folder.resolve("operator-token"), OPERATOR_TOKEN),
+        3_000);
   }
 
   /**
--- a/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/control/ControlDaemonTest.java
+++ b/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/control/ControlDaemonTest.java
@@ -160,7 +160,8 @@
         any,
         List.of(any),
         Files.writeString(folder.resolve("token"), TOKEN + "\n"),
-        Files.writeString(folder.resolve("operator-token"), OPERATOR_TOKEN + "\n"));
+        Files.writeString(folder.resolve("operator-token"), OPERATOR_TOKEN + "\n"),
+        3_000);
   }
 
   private ControlClient client(AppliedConfiguration applied, String token) {
--- a/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/routed/ControlSettingsTest.java
+++ b/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/routed/ControlSettingsTest.java
@@ -26,7 +26,8 @@
             true,
             3,
             intervalMs,
-            4_000);
+            4_000,
+            3_000);
 
     assertThat(settings.readyLifetimeNanos()).isEqualTo(TimeUnit.SECONDS.toNanos(seconds));
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/MessageFraming.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/MessageFraming.java
@@ -26,9 +26,29 @@
    * @param received the default instance of the messages that the connection receives
    */
   public static void addTo(ChannelPipeline pipeline, MessageLite received) {
+    pipeline.addLast(newFrameDecoder());
+    addCodecs(pipeline, received);
+  }
+
+  /**
+   * Adds the handlers, with a monitor that finds out whether the connection still works.
+   *
+   * @param pipeline the pipeline of a new connection
+   * @param received the default instance of the messages that the connection receives
+   * @param monitor the monitor of the connection
+   */
+  public static void addTo(ChannelPipeline pipeline, MessageLite received, LinkMonitor monitor) {
+    // The monitor sees the bytes before they complete a message.
+    pipeline.addLast(monitor, newFrameDecoder(), new LinkMonitor.PulseFilter());
+    addCodecs(pipeline, received);
+  }
+
+  private static LengthFieldBasedFrameDecoder newFrameDecoder() {
+    return new LengthFieldBasedFrameDecoder(MAX_MESSAGE_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES);
+  }
+
+  private static void addCodecs(ChannelPipeline pipeline, MessageLite received) {
     pipeline
-        .addLast(
-            new LengthFieldBasedFrameDecoder(MAX_MESSAGE_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
         .addLast(new ProtobufDecoder(received))
         .addLast(new LengthFieldPrepender(LENGTH_BYTES))
         .addLast(new ProtobufEncoder());
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaConnections.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaConnections.java
@@ -27,9 +27,10 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import org.waxwingbeam.control.LinkLiveness;
 import org.waxwingbeam.control.net.Channels;
+import org.waxwingbeam.control.net.LinkMonitor;
 import org.waxwingbeam.control.net.MessageFraming;
-import org.waxwingbeam.control.net.TcpKeepalive;
 import org.waxwingbeam.logging.EventLog;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.wire.replica.ReplicaFrame;
@@ -38,7 +39,8 @@
 
 /**
  * Exchanges messages with the other control replicas. Each replica sends on the connections that it
- * has opened, and receives on all connections.
+ * has opened, and receives on all connections. Connections on which nothing arrives any more are
+ * closed and opened again.
  *
  * @since 0.1.0
  */
@@ -48,6 +50,7 @@
 
   private final EventLoopGroup group;
   private final String token;
+  private final LinkLiveness.Timings linkTimings;
   private final Supplier<ReplicaHello> ownHello;
   private final Consumer<ReplicaHello> helloReceiver;
   private final Consumer<ReplicaMessage> messageReceiver;
@@ -66,6 +69,7 @@
    * @param group has a single event loop, on which the receivers are called as well
    * @param address the address to listen on
    * @param token the credential of the system's own processes
+   * @param linkTimings when a silent connection is replaced
    * @param ownHello supplies the hello of this replica, without the credential
    * @param helloReceiver called with each hello of another replica
    * @param messageReceiver called with each message of another replica
@@ -74,19 +78,21 @@
       EventLoopGroup group,
       Endpoint address,
       String token,
+      LinkLiveness.Timings linkTimings,
       Supplier<ReplicaHello> ownHello,
       Consumer<ReplicaHello> helloReceiver,
       Consumer<ReplicaMessage> messageReceiver) {
     this.group = group;
     this.token = token;
+    this.linkTimings = linkTimings;
     this.ownHello = ownHello;
     this.helloReceiver = helloReceiver;
     this.messageReceiver = messageReceiver;
     serverChannel =
-        TcpKeepalive.enable(new ServerBootstrap())
+        new ServerBootstrap()
             .group(group)
             .channel(NioServerSocketChannel.class)
-            .childHandler(new Initializer())
+            .childHandler(new Initializer(LinkLiveness.Side.ACCEPTOR))
             .bind(address.socketAddress())
             .syncUninterruptibly()
             .channel();
@@ -112,14 +118,19 @@
         .forEach(each -> each.getValue().channel().ifPresent(Channels::close));
   }
 
+  /** Sends due pulses, and closes the connections on which nothing arrives any more. */
+  public void tick(long nowNanos) {
+    connections.forEach(each -> LinkMonitor.tickIfMonitored(each, nowNanos));
+  }
+
   private void connect(Endpoint address) {
     outboundByAddress.put(address.toString(), new OutboundConnection(Optional.empty()));
-    TcpKeepalive.enable(new Bootstrap())
+    new Bootstrap()
         .group(group)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
         .option(ChannelOption.TCP_NODELAY, true)
-        .handler(new Initializer())
+        .handler(new Initializer(LinkLiveness.Side.OPENER))
         .connect(address.socketAddress())
         .addListener((ChannelFuture done) -> onConnected(address, done));
   }
@@ -179,10 +190,19 @@
   }
 
   private final class Initializer extends ChannelInitializer<SocketChannel> {
+    private final LinkLiveness.Side side;
+
+    Initializer(LinkLiveness.Side side) {
+      this.side = side;
+    }
+
     @Override
     protected void initChannel(SocketChannel channel) {
       connections.add(channel);
-      MessageFraming.addTo(channel.pipeline(), ReplicaFrame.getDefaultInstance());
+      MessageFraming.addTo(
+          channel.pipeline(),
+          ReplicaFrame.getDefaultInstance(),
+          new LinkMonitor(new LinkLiveness(side, linkTimings, System.nanoTime())));
       channel.pipeline().addLast(new Handler());
     }
   }
@@ -235,6 +255,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      LOG.warn("replica-link-failed", "remote", context.channel().remoteAddress(), "reason", cause);
       Channels.close(context.channel());
     }
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaRunner.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaRunner.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.waxwingbeam.control.LinkLiveness;
 import org.waxwingbeam.replica.CommandLog;
 import org.waxwingbeam.replica.KnownReplicas;
 import org.waxwingbeam.replica.MembershipCoordinator;
@@ -59,6 +60,7 @@
    * @param entryAddress the address at which it listens for entry instances
    * @param initialAddresses the addresses of the initial voters
    * @param token the credential of the system's own processes
+   * @param linkTimings when a silent connection to another replica is replaced
    * @param membershipPolicy how the membership changes without an operator
    */
   public record Settings(
@@ -66,14 +68,22 @@
       Endpoint entryAddress,
       List<Endpoint> initialAddresses,
       String token,
+      LinkLiveness.Timings linkTimings,
       MembershipPolicy membershipPolicy) {
     /** Creates settings for a replica whose membership only operators change. */
     public Settings(
         Endpoint replicaAddress,
         Endpoint entryAddress,
         List<Endpoint> initialAddresses,
-        String token) {
-      this(replicaAddress, entryAddress, initialAddresses, token, MembershipPolicy.BY_OPERATORS);
+        String token,
+        LinkLiveness.Timings linkTimings) {
+      this(
+          replicaAddress,
+          entryAddress,
+          initialAddresses,
+          token,
+          linkTimings,
+          MembershipPolicy.BY_OPERATORS);
     }
 
     @Override
@@ -138,6 +148,7 @@
             group,
             settings.replicaAddress(),
             settings.token(),
+            settings.linkTimings(),
             this::hello,
             knownReplicas::recordHello,
             this::receive);
@@ -189,6 +200,7 @@
 
   private void tick() {
     long now = System.nanoTime();
+    connections.tick(now);
     connections.connectTo(otherAddresses(now));
     announceIfDue(now);
     if (replica.isUninitialized()) {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/ControlSettings.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/ControlSettings.java
@@ -17,6 +17,8 @@
  *     cluster is created
  * @param tokenFile the file with the credential shared by the processes of the system
  * @param operatorTokenFile the file with the operators' credential
+ * @param contactMs maximum time after which a silent connection to another replica is replaced, in
+ *     milliseconds
  * @since 0.1.0
  */
 public record ControlSettings(
@@ -28,7 +30,8 @@
     Endpoint metrics,
     List<Endpoint> initialReplicas,
     Path tokenFile,
-    Path operatorTokenFile) {
+    Path operatorTokenFile,
+    long contactMs) {
 
   /** Copies the list of addresses. */
   public ControlSettings {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/SettingsReader.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/SettingsReader.java
@@ -91,6 +91,7 @@
         values.endpoint(SettingsTable.METRICS),
         values.endpoints(SettingsTable.INITIAL_REPLICAS),
         values.path(SettingsTable.REPLICA_TOKEN_FILE),
-        values.path(SettingsTable.OPERATOR_TOKEN_FILE));
+        values.path(SettingsTable.OPERATOR_TOKEN_FILE),
+        values.number(SettingsTable.REPLICA_CONTACT));
   }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/SettingsTable.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/SettingsTable.java
@@ -102,6 +102,13 @@
           "token-file",
           PATH,
           "File with the credential shared by the system's own processes.");
+  static final SettingKey REPLICA_CONTACT =
+      optional(
+          "replicas",
+          "contact",
+          new SettingType.Range(Quantity.DURATION, 600, 60_000),
+          "3 s",
+          "Longest time after which a silent connection to another replica is replaced.");
   static final SettingKey ENTRIES =
       required("entries", "listen", ADDRESS, "Where entry instances connect.");
   static final SettingKey OPERATORS =
@@ -136,6 +143,7 @@
           REPLICAS,
           INITIAL_REPLICAS,
           REPLICA_TOKEN_FILE,
+          REPLICA_CONTACT,
           ENTRIES,
           OPERATORS,
           OPERATOR_TOKEN_FILE,
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/path/PathFixture.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/path/PathFixture.java
@@ -28,6 +28,7 @@
 
 /** Runs a control replica, an entry instance and stand-in targets in this process, on loopback. */
 final class PathFixture implements AutoCloseable {
+  private static final long CONTACT_MS = 3_000;
   private static final Endpoint FREE_PORT = new Endpoint("127.0.0.1", 0);
   private static final String EVENT_LOOP_PREFIX = "multiThreadIoEventLoopGroup-";
   private static final int TIME_TO_LIVE_MS = 60_000;
@@ -148,7 +149,8 @@
         FREE_PORT,
         List.of(FREE_PORT),
         token,
-        token);
+        token,
+        CONTACT_MS);
   }
 
   private EntrySettings entrySettings(Path token, int workers) {
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/WholePathTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/WholePathTest.java
@@ -234,7 +234,8 @@
         FREE_PORT,
         List.of(FREE_PORT),
         token,
-        token);
+        token,
+        3_000);
   }
 
   private EntrySettings entrySettings(ControlDaemon control) {
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/ReplicaRunnerTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/ReplicaRunnerTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.waxwingbeam.control.LinkLiveness;
 import org.waxwingbeam.replica.Journal;
 import org.waxwingbeam.replica.Replica;
 import org.waxwingbeam.replica.ReplicaRole;
@@ -28,6 +29,7 @@
 @Timeout(30)
 class ReplicaRunnerTest {
   private static final Endpoint ANY_PORT = new Endpoint("127.0.0.1", 0);
+  private static final LinkLiveness.Timings LINK_TIMINGS = LinkLiveness.Timings.ofContact(3_000);
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -47,7 +49,7 @@
         new ReplicaRunner(
             group,
             replica,
-            new ReplicaRunner.Settings(ANY_PORT, ANY_PORT, List.of(), "token"),
+            new ReplicaRunner.Settings(ANY_PORT, ANY_PORT, List.of(), "token", LINK_TIMINGS),
             new RecordingListener())) {
       diskFails = true;
       group.next().submit(() -> replica.receive(System.nanoTime(), snapshot(replica.id()))).sync();
