Silent connections between entry instances are replaced

What callers saw: nothing at first. Two entry instances whose connection stays open but carries nothing any more share no announcements, crash records or warm-up states, for as long as the kernel keeps it open (some 15 minutes with unacknowledged data, for ever behind a peer that stands still), so that one of them uses targets that the other knows to be gone.

Cause: PeerNetwork had no time-out of its own. An outgoing connection counted as there while its channel was open, and an accepted one that never sent its hello stayed for ever.

Now both ends watch their connections with LinkMonitor. The reconcile task, which exists already, ticks them every 250 ms, once for each event loop, closes the silent ones (event link-silent) and opens new ones. The bound is the new setting `[peers] contact`; its minimum of 2 s keeps a pulse interval above the interval of the task. Connections that are still being opened are left out: a pulse on them would fail and close them.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
@@ -27,6 +27,7 @@
 import org.waxwingbeam.concurrent.RepeatingTask;
 import org.waxwingbeam.control.AppliedConfiguration;
 import org.waxwingbeam.control.EntryView;
+import org.waxwingbeam.control.LinkLiveness;
 import org.waxwingbeam.control.net.ControlClaimClient;
 import org.waxwingbeam.control.net.ControlClient;
 import org.waxwingbeam.daemon.StoppableNow;
@@ -121,6 +122,7 @@
             group,
             new PeerNetwork.Identity(settings.instance(), token),
             settings.peers(),
+            LinkLiveness.Timings.ofContact(settings.contactMs()),
             () -> controlClient.leasedView().view(),
             this::receiveRecord);
     announcementServer =
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/peer/net/PeerNetwork.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/peer/net/PeerNetwork.java
@@ -21,9 +21,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.waxwingbeam.concurrent.RepeatingTask;
 import org.waxwingbeam.control.EntryView;
+import org.waxwingbeam.control.LinkLiveness;
 import org.waxwingbeam.control.net.Channels;
+import org.waxwingbeam.control.net.LinkMonitor;
 import org.waxwingbeam.control.net.MessageFraming;
 import org.waxwingbeam.model.InstanceName;
 import org.waxwingbeam.peer.PeerTopology;
@@ -37,9 +40,10 @@
  * Shares soft state with other entry instances over the connections that {@link PeerTopology}
  * determines. Both ends of a new connection send all their records. After that only new records are
  * sent, and a received one is forwarded to every connection but the one on which it arrived.
+ * Connections on which nothing arrives any more are closed and opened again.
  *
  * <pre>{@code
- * PeerNetwork peers = new PeerNetwork(group, identity, listen, view, listener);
+ * PeerNetwork peers = new PeerNetwork(group, identity, listen, timings, view, listener);
  * peers.publish(record);
  * }</pre>
  *
@@ -51,10 +55,12 @@
 
   private final EventLoopGroup group;
   private final Identity identity;
+  private final LinkLiveness.Timings linkTimings;
   private final Supplier<EntryView> view;
   private final Consumer<SoftRecord> listener;
   private final SoftStateStore state = new SoftStateStore();
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final ChannelGroup authenticated = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final Map<InstanceName, Channel> outgoing = new ConcurrentHashMap<>();
   private final Channel server;
   private final Future<?> reconciling;
@@ -65,6 +71,7 @@
    * @param group event loops that run the connections
    * @param identity identity of this entry instance
    * @param listen address to listen on; port 0 selects a free port
+   * @param linkTimings when a silent connection is replaced
    * @param view supplies the live entry instances
    * @param listener called, on any thread, with every new record from another entry instance
    * @throws InterruptedException if the thread is interrupted before the port is bound
@@ -73,18 +80,20 @@
       EventLoopGroup group,
       Identity identity,
       Endpoint listen,
+      LinkLiveness.Timings linkTimings,
       Supplier<EntryView> view,
       Consumer<SoftRecord> listener)
       throws InterruptedException {
     this.group = group;
     this.identity = identity;
+    this.linkTimings = linkTimings;
     this.view = view;
     this.listener = listener;
     this.server =
         new ServerBootstrap()
             .group(group)
             .channel(NioServerSocketChannel.class)
-            .childHandler(initializer())
+            .childHandler(initializer(LinkLiveness.Side.ACCEPTOR))
             .bind(listen.socketAddress())
             .sync()
             .channel();
@@ -117,7 +126,7 @@
   }
 
   void onAuthenticated(Channel connection) {
-    connections.add(connection);
+    authenticated.add(connection);
     List<SoftRecord> all = state.records(System.nanoTime());
     if (!all.isEmpty()) {
       Channels.send(connection, RecordCodec.toMessage(all));
@@ -133,13 +142,14 @@
   private void forward(List<SoftRecord> changed, Channel except) {
     if (!changed.isEmpty()) {
       PeerMessage message = RecordCodec.toMessage(changed);
-      connections.stream()
+      authenticated.stream()
           .filter(each -> each != except)
           .forEach(each -> Channels.send(each, message));
     }
   }
 
   private void reconcile() {
+    tickConnections();
     Map<InstanceName, Endpoint> wanted = new ConcurrentHashMap<>();
     PeerTopology.peersToConnect(view.get(), identity.instance())
         .forEach(each -> wanted.put(each.name(), each.peers()));
@@ -154,22 +164,39 @@
     wanted.forEach(this::connect);
   }
 
+  /** Wakes each event loop up once, whatever the number of its connections. */
+  private void tickConnections() {
+    connections.stream()
+        .filter(Channel::isActive)
+        .collect(Collectors.groupingBy(Channel::eventLoop))
+        .forEach((loop, own) -> loop.execute(() -> tick(own)));
+  }
+
+  private static void tick(List<Channel> own) {
+    long now = System.nanoTime();
+    own.forEach(each -> LinkMonitor.tickIfMonitored(each, now));
+  }
+
   private void connect(InstanceName name, Endpoint endpoint) {
     ChannelFuture connecting =
         new Bootstrap()
             .group(group)
             .channel(NioSocketChannel.class)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-            .handler(initializer())
+            .handler(initializer(LinkLiveness.Side.OPENER))
             .connect(endpoint.socketAddress());
     outgoing.put(name, connecting.channel());
   }
 
-  private ChannelInitializer<SocketChannel> initializer() {
+  private ChannelInitializer<SocketChannel> initializer(LinkLiveness.Side side) {
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(SocketChannel connection) {
-        MessageFraming.addTo(connection.pipeline(), PeerMessage.getDefaultInstance());
+        connections.add(connection);
+        MessageFraming.addTo(
+            connection.pipeline(),
+            PeerMessage.getDefaultInstance(),
+            new LinkMonitor(new LinkLiveness(side, linkTimings, System.nanoTime())));
         connection.pipeline().addLast(new PeerConnection(PeerNetwork.this, identity));
       }
     };
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/EntrySettings.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/EntrySettings.java
@@ -20,6 +20,8 @@
  * @param callerLimits limits for connections of callers
  * @param choice how targets are chosen
  * @param workers number of event loops that serve callers and targets
+ * @param contactMs maximum time after which a silent connection to another process of the system is
+ *     replaced, in milliseconds
  * @since 0.1.0
  */
 public record EntrySettings(
@@ -34,7 +36,8 @@
     Path tokenFile,
     CallerLimits callerLimits,
     ChoiceSettings choice,
-    int workers) {
+    int workers,
+    long contactMs) {
 
   /** Copies the list of addresses. */
   public EntrySettings {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/SettingsReader.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/SettingsReader.java
@@ -78,7 +78,8 @@
             values.number(SettingsTable.HEADER_TIMEOUT),
             values.number(SettingsTable.KEEP_ALIVE_IDLE)),
         new EntrySettings.ChoiceSettings(values.text(SettingsTable.POLICY)),
-        (int) values.number(SettingsTable.WORKERS));
+        (int) values.number(SettingsTable.WORKERS),
+        values.number(SettingsTable.PEER_CONTACT));
   }
 
   private static ControlSettings controlSettings(SettingsValues values) {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/SettingsTable.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/SettingsTable.java
@@ -60,6 +60,13 @@
           "platform", "listen", ADDRESS, "Where the platform asks for readiness and liveness.");
   static final SettingKey PEERS =
       required("peers", "listen", ADDRESS, "Where other entry instances connect.");
+  static final SettingKey PEER_CONTACT =
+      optional(
+          "peers",
+          "contact",
+          new SettingType.Range(Quantity.DURATION, 2_000, 60_000),
+          "3 s",
+          "Longest time after which a silent connection to another instance is replaced.");
   static final SettingKey METRICS =
       required("metrics", "listen", ADDRESS, "Where metrics are read.");
   static final SettingKey CONTROLS =
@@ -129,6 +136,7 @@
           TARGETS,
           PLATFORM,
           PEERS,
+          PEER_CONTACT,
           METRICS,
           CONTROLS,
           TOKEN_FILE,
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/settings/SettingsReaderTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/settings/SettingsReaderTest.java
@@ -57,7 +57,8 @@
             folder.resolve("token"),
             new EntrySettings.CallerLimits(32_768, 2_500, 60_000),
             new EntrySettings.ChoiceSettings("quota"),
-            2);
+            2,
+            3_000);
     assertThat(result).isEqualTo(new SettingsResult.Valid<>(expected, LogLevel.INFO));
   }
 
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/path/PathFixture.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/measure/path/PathFixture.java
@@ -166,7 +166,8 @@
         token,
         new EntrySettings.CallerLimits(16_384, 5_000, 60_000),
         new EntrySettings.ChoiceSettings(ChoicePolicy.DEFAULT_NAME),
-        workers);
+        workers,
+        CONTACT_MS);
   }
 
   @Override
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/WholePathTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/request/WholePathTest.java
@@ -255,6 +255,7 @@
         folder.resolve("token"),
         new EntrySettings.CallerLimits(16_384, 5_000, 60_000),
         new EntrySettings.ChoiceSettings("least-outstanding"),
-        2);
+        2,
+        3_000);
   }
 }
