Feed connections: bytes count, a standstill does not, no greeting is no stay

What callers saw: an entry instance on a thin link that never gets a large routing state, and so is not ready or routes by an old one: the connection ended after 2 s without a whole frame, again and again. After a pause of the process of more than 2 s, all its feed connections could end at once, although frames had arrived meanwhile. Connections that never sent a greeting stayed for ever and used up descriptors.

Cause: FeedClient and FeedServer compared the time of the last whole frame with the clock, with constants of their own. The timer may run before the first read after a pause. Only greeted sessions were checked.

Now both use LinkLiveness through LinkMonitor: it counts bytes, counts a standstill as one pulse interval at most, and takes its bound from the contact time of the settings. The pulses keep their content: LinkMonitor takes the sender of the pulses. FeedServer checks every accepted connection, twice in each pulse interval. Pulses that confirm a state no longer delay the next regular one.

FeedFleetTest passes the timings to the constructors; its checks are as they were.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
@@ -135,20 +135,23 @@
             Replica.Options.DEFAULT,
             entry -> {},
             System.nanoTime());
+    LinkLiveness.Timings linkTimings = LinkLiveness.Timings.ofContact(settings.contactMs());
     ReplicaRunner.Settings runnerSettings =
         new ReplicaRunner.Settings(
             settings.replicaAddress(),
             settings.entryAddress(),
             settings.seeds(),
             NO_CREDENTIAL,
-            LinkLiveness.Timings.ofContact(settings.contactMs()),
+            linkTimings,
             new ReplicaRunner.MembershipPolicy(
                 settings.mayCreate(),
                 settings.wantedVoters(),
                 settings.catchUpMs() * NANOS_PER_MS));
     runner = new ReplicaRunner(group, replica, runnerSettings, new ReplicaListener());
     moveRunner = new MoveRunner(replicatedState.routing(), this::propose);
-    feed = new FeedServer(group, settings.entryAddress(), new FeedSource(), this::receiveFrame);
+    feed =
+        new FeedServer(
+            group, settings.entryAddress(), linkTimings, new FeedSource(), this::receiveFrame);
   }
 
   /**
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedEntry.java
@@ -16,6 +16,7 @@
 import org.waxwingbeam.caller.net.RetryBudgets;
 import org.waxwingbeam.caller.net.SharedDispatcher;
 import org.waxwingbeam.concurrent.RepeatingTask;
+import org.waxwingbeam.control.LinkLiveness;
 import org.waxwingbeam.control.net.FeedClient;
 import org.waxwingbeam.control.net.LoadPeerLists;
 import org.waxwingbeam.logging.EventLog;
@@ -126,6 +127,8 @@
    * @param checksPerSecond status checks that the whole fleet may send to one target per second
    * @param leaveGraceMs time in which a target that has stated that it leaves still serves requests
    *     that no other target can serve, in milliseconds
+   * @param contactMs time within which processes that can reach each other must be in contact, in
+   *     milliseconds
    */
   public record Settings(
       InstanceName instance,
@@ -135,7 +138,8 @@
       List<Endpoint> controlAddresses,
       SlidingWindowBudget.Limits retryLimits,
       double checksPerSecond,
-      long leaveGraceMs) {
+      long leaveGraceMs,
+      long contactMs) {
     /** Copies the list of addresses. */
     public Settings {
       controlAddresses = List.copyOf(controlAddresses);
@@ -173,7 +177,13 @@
             .setBootId(bootId)
             .setLoadsAddress(settings.loadReportAddress().toString())
             .build();
-    feed = new FeedClient(group.next(), greeting, settings.controlAddresses(), new FeedListener());
+    feed =
+        new FeedClient(
+            group.next(),
+            greeting,
+            settings.controlAddresses(),
+            LinkLiveness.Timings.ofContact(settings.contactMs()),
+            new FeedListener());
     EntryMetrics entryMetrics = new EntryMetrics(metrics);
     statusCheckLog = new StatusCheckLog(entryMetrics);
     ExchangeContext context =
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedClient.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedClient.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import org.waxwingbeam.control.LinkLiveness;
 import org.waxwingbeam.logging.EventLog;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.wire.feed.ControlFrame;
@@ -31,7 +32,7 @@
  * <p>All methods but the constructor are called on its event loop.
  *
  * <pre>{@code
- * FeedClient client = new FeedClient(loop, greeting, seeds, listener);
+ * FeedClient client = new FeedClient(loop, greeting, seeds, timings, listener);
  * client.tick(System.nanoTime());
  * }</pre>
  *
@@ -39,11 +40,6 @@
  */
 public final class FeedClient implements AutoCloseable {
   private static final int CONNECT_TIMEOUT_MS = 400;
-
-  /** Interval between two pulses. A replica is disconnected after four intervals of silence. */
-  private static final long PULSE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-
-  private static final long SILENCE_TIMEOUT_NANOS = 4 * PULSE_INTERVAL_NANOS;
   private static final long FIRST_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
   private static final long MAX_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
@@ -62,6 +58,7 @@
 
   private final EventLoop loop;
   private final EntryGreeting greeting;
+  private final LinkLiveness.Timings linkTimings;
   private final Listener listener;
   private final Map<String, ReplicaConnection> connections = new TreeMap<>();
   private int fleetSize;
@@ -93,12 +90,18 @@
    * @param loop the event loop that runs this client
    * @param greeting identifies this entry instance
    * @param seeds the initial addresses of control replicas
+   * @param linkTimings when pulses are sent and a silent connection is replaced
    * @param listener receives the replicas' frames
    */
   public FeedClient(
-      EventLoop loop, EntryGreeting greeting, List<Endpoint> seeds, Listener listener) {
+      EventLoop loop,
+      EntryGreeting greeting,
+      List<Endpoint> seeds,
+      LinkLiveness.Timings linkTimings,
+      Listener listener) {
     this.loop = loop;
     this.greeting = greeting;
+    this.linkTimings = linkTimings;
     this.listener = listener;
     seeds.forEach(each -> connections.put(each.toString(), new ReplicaConnection(each)));
   }
@@ -167,8 +170,6 @@
     private long retryNanos = FIRST_RETRY_NANOS;
     private long nextConnectNanos;
     private boolean attempted;
-    private long lastReceivedNanos;
-    private long nextPulseNanos;
     private long appliedSequence;
     private long receivedRevision;
 
@@ -181,11 +182,8 @@
         if (!connecting && (!attempted || nowNanos - nextConnectNanos >= 0)) {
           connect();
         }
-      } else if (nowNanos - lastReceivedNanos > SILENCE_TIMEOUT_NANOS) {
-        LOG.warn("replica-silent", "replica", address);
-        Channels.close(channel);
-      } else if (nowNanos - nextPulseNanos >= 0) {
-        sendPulse(nowNanos);
+      } else {
+        LinkMonitor.tickIfMonitored(channel, nowNanos);
       }
     }
 
@@ -195,8 +193,7 @@
       }
     }
 
-    private void sendPulse(long nowNanos) {
-      nextPulseNanos = nowNanos + PULSE_INTERVAL_NANOS;
+    private void sendPulse() {
       send(
           EntryFrame.newBuilder()
               .setPulse(
@@ -222,16 +219,13 @@
 
     private void onConnected(ChannelFuture done) {
       connecting = false;
-      long now = System.nanoTime();
       if (!done.isSuccess()) {
-        nextConnectNanos = now + retryNanos;
+        nextConnectNanos = System.nanoTime() + retryNanos;
         retryNanos = Math.min(MAX_RETRY_NANOS, retryNanos * 2);
         return;
       }
       channel = done.channel();
       channel.closeFuture().addListener(gone -> onDisconnected());
-      lastReceivedNanos = now;
-      nextPulseNanos = now + PULSE_INTERVAL_NANOS;
       appliedSequence = 0;
       receivedRevision = 0;
       EntryGreeting.Builder current =
@@ -259,16 +253,15 @@
     }
 
     private void receive(ControlFrame frame) {
-      lastReceivedNanos = System.nanoTime();
       retryNanos = FIRST_RETRY_NANOS;
       if (!frame.hasPulse()) {
         deliver(this, frame);
         return;
       }
-      recordPulse(lastReceivedNanos, frame.getPulse());
+      recordPulse(System.nanoTime(), frame.getPulse());
       if (frame.getPulse().getSequence() > appliedSequence) {
         appliedSequence = frame.getPulse().getSequence();
-        sendPulse(lastReceivedNanos);
+        sendPulse();
       }
     }
   }
@@ -293,7 +286,7 @@
       boolean isNew = listener.appliedRevision() > before;
       connections.values().stream()
           .filter(each -> isNew || each == from)
-          .forEach(each -> each.sendPulse(from.lastReceivedNanos));
+          .forEach(ReplicaConnection::sendPulse);
     }
   }
 
@@ -301,7 +294,7 @@
     return frame.hasTarget() && frame.getTarget().getState() != TargetRecord.State.READY;
   }
 
-  private static final class Initializer extends ChannelInitializer<SocketChannel> {
+  private final class Initializer extends ChannelInitializer<SocketChannel> {
     private final ReplicaConnection connection;
 
     Initializer(ReplicaConnection connection) {
@@ -310,7 +303,12 @@
 
     @Override
     protected void initChannel(SocketChannel opened) {
-      MessageFraming.addTo(opened.pipeline(), ControlFrame.getDefaultInstance());
+      LinkLiveness liveness =
+          new LinkLiveness(LinkLiveness.Side.OPENER, linkTimings, System.nanoTime());
+      MessageFraming.addTo(
+          opened.pipeline(),
+          ControlFrame.getDefaultInstance(),
+          new LinkMonitor(liveness, channel -> connection.sendPulse()));
       opened.pipeline().addLast(new Handler(connection));
     }
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedServer.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/FeedServer.java
@@ -21,6 +21,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
+import org.waxwingbeam.control.LinkLiveness;
 import org.waxwingbeam.logging.EventLog;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.wire.feed.ControlFrame;
@@ -39,7 +40,7 @@
  * <p>All methods are called on the one event loop of the group.
  *
  * <pre>{@code
- * FeedServer server = new FeedServer(group, endpoint, source, receiver);
+ * FeedServer server = new FeedServer(group, endpoint, timings, source, receiver);
  * server.publish(record);
  * server.whenApplied(timeoutNanos, confirmed -> respond(confirmed));
  * }</pre>
@@ -47,12 +48,8 @@
  * @since 0.1.0
  */
 public final class FeedServer implements AutoCloseable {
-  /**
-   * Interval between two pulses. An entry instance is disconnected after four intervals of silence.
-   */
-  private static final long PULSE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-
-  private static final long SILENCE_TIMEOUT_NANOS = 4 * PULSE_INTERVAL_NANOS;
+  /** Number of checks for silent connections in each pulse interval. */
+  private static final int CHECKS_PER_PULSE = 2;
 
   /**
    * Highest number of entry instances to which one load report is sent, so that its cost does not
@@ -78,8 +75,10 @@
 
   private static final EventLog LOG = new EventLog(FeedServer.class);
 
+  private final LinkLiveness.Timings linkTimings;
   private final Source source;
   private final Receiver receiver;
+  private final Set<Channel> connections = new LinkedHashSet<>();
   private final Set<Session> sessions = new LinkedHashSet<>();
   private final List<Waiter> waiters = new ArrayList<>();
   private final Channel serverChannel;
@@ -87,6 +86,7 @@
   private long sequence;
   private long announcedSequence;
   private long nextPulseNanos = System.nanoTime();
+  private long nextCheckNanos = System.nanoTime();
   private boolean loadPeersChanged;
   private long nextLoadPeersNanos = System.nanoTime();
 
@@ -121,10 +121,17 @@
    *
    * @param group has a single event loop, which runs everything
    * @param endpoint the address to listen on
+   * @param linkTimings when pulses are sent and a silent connection is closed
    * @param source supplies the state that is streamed
    * @param receiver receives the frames of entry instances
    */
-  public FeedServer(EventLoopGroup group, Endpoint endpoint, Source source, Receiver receiver) {
+  public FeedServer(
+      EventLoopGroup group,
+      Endpoint endpoint,
+      LinkLiveness.Timings linkTimings,
+      Source source,
+      Receiver receiver) {
+    this.linkTimings = linkTimings;
     this.source = source;
     this.receiver = receiver;
     serverChannel =
@@ -280,17 +287,18 @@
   }
 
   /**
-   * Completes waiters, sends due pulses, repeats routing states that were not applied, and
-   * disconnects entry instances that have been silent too long.
+   * Completes waiters, sends due pulses, repeats routing states that were not applied, and closes
+   * connections that have been silent too long.
    */
   public void tick(long nowNanos) {
     completeWaiters(nowNanos);
     sessions.forEach(each -> each.repeatRoutingIfDue(nowNanos));
+    if (nowNanos - nextCheckNanos >= 0) {
+      nextCheckNanos = nowNanos + linkTimings.pulseIntervalNanos() / CHECKS_PER_PULSE;
+      List.copyOf(connections).forEach(each -> LinkMonitor.tickIfMonitored(each, nowNanos));
+    }
     if (nowNanos - nextPulseNanos >= 0) {
-      nextPulseNanos = nowNanos + PULSE_INTERVAL_NANOS;
-      List.copyOf(sessions).stream()
-          .filter(each -> nowNanos - each.lastReceivedNanos > SILENCE_TIMEOUT_NANOS)
-          .forEach(each -> Channels.close(each.channel));
+      nextPulseNanos = nowNanos + linkTimings.pulseIntervalNanos();
       sendPulseToAll();
     }
     if (loadPeersChanged && nowNanos - nextLoadPeersNanos >= 0) {
@@ -303,7 +311,7 @@
   @Override
   public void close() {
     serverChannel.close().syncUninterruptibly();
-    List.copyOf(sessions).forEach(each -> Channels.close(each.channel));
+    List.copyOf(connections).forEach(Channels::close);
   }
 
   /** A routing state, encoded once for all entry instances. */
@@ -329,7 +337,6 @@
     private long receivedRevision;
     private long sentRevision;
     private long routingSentNanos;
-    private long lastReceivedNanos = System.nanoTime();
 
     Session(Channel channel, EntryGreeting greeting) {
       this.channel = channel;
@@ -414,7 +421,14 @@
   private final class Initializer extends ChannelInitializer<SocketChannel> {
     @Override
     protected void initChannel(SocketChannel channel) {
-      MessageFraming.addTo(channel.pipeline(), EntryFrame.getDefaultInstance());
+      connections.add(channel);
+      LinkLiveness liveness =
+          new LinkLiveness(LinkLiveness.Side.ACCEPTOR, linkTimings, System.nanoTime());
+      // Pulses are encoded once and sent to all entry instances together.
+      MessageFraming.addTo(
+          channel.pipeline(),
+          EntryFrame.getDefaultInstance(),
+          new LinkMonitor(liveness, due -> {}));
       channel.pipeline().addLast(new Handler());
     }
   }
@@ -429,11 +443,10 @@
       } else if (session == null) {
         Channels.close(context.channel());
       } else {
-        session.lastReceivedNanos = System.nanoTime();
         if (frame.hasPulse()) {
           session.recordPulse(frame.getPulse());
           session.sendRoutingIfNewer(routing);
-          completeWaiters(session.lastReceivedNanos);
+          completeWaiters(System.nanoTime());
         } else {
           receiver.receive(session.name, frame);
         }
@@ -476,6 +489,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+      connections.remove(context.channel());
       if (session != null && sessions.remove(session)) {
         LOG.info("entry-lost", "entry", session.name, "entries", sessions.size());
         loadPeersChanged = true;
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/LinkMonitor.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/LinkMonitor.java
@@ -5,13 +5,15 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.util.function.Consumer;
 import org.waxwingbeam.control.LinkLiveness;
 import org.waxwingbeam.logging.EventLog;
 
 /**
- * Sends and receives the pulses of one connection, and closes it when it is dead. A pulse is a
- * frame without a message. {@link MessageFraming#addTo(io.netty.channel.ChannelPipeline,
- * com.google.protobuf.MessageLite, LinkMonitor)} adds a monitor to a pipeline.
+ * Sends and receives the pulses of one connection, and closes it when it is dead. Unless its owner
+ * has pulses of its own, a pulse is a frame without a message. {@link
+ * MessageFraming#addTo(io.netty.channel.ChannelPipeline, com.google.protobuf.MessageLite,
+ * LinkMonitor)} adds a monitor to a pipeline.
  *
  * <p>Its owner calls {@link #tick} periodically, on the event loop of the connection.
  *
@@ -21,6 +23,7 @@
   private static final EventLog LOG = new EventLog(LinkMonitor.class);
 
   private final LinkLiveness liveness;
+  private final Consumer<Channel> pulseSender;
 
   /**
    * Creates the monitor of a new connection.
@@ -28,7 +31,18 @@
    * @param liveness decides what is due on the connection
    */
   public LinkMonitor(LinkLiveness liveness) {
+    this(liveness, channel -> Channels.send(channel, Unpooled.EMPTY_BUFFER));
+  }
+
+  /**
+   * Creates the monitor of a new connection whose owner has pulses of its own.
+   *
+   * @param liveness decides what is due on the connection
+   * @param pulseSender sends a pulse
+   */
+  public LinkMonitor(LinkLiveness liveness, Consumer<Channel> pulseSender) {
     this.liveness = liveness;
+    this.pulseSender = pulseSender;
   }
 
   /** Calls {@link #tick(Channel, long)} for a connection, if it has a monitor. */
@@ -41,7 +55,7 @@
 
   private void tick(Channel channel, long nowNanos) {
     switch (liveness.tick(nowNanos)) {
-      case SEND_PULSE -> Channels.send(channel, Unpooled.EMPTY_BUFFER);
+      case SEND_PULSE -> pulseSender.accept(channel);
       case CLOSE -> {
         LOG.warn(
             "link-silent",
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/control/net/FeedFleetTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/control/net/FeedFleetTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.waxwingbeam.control.LinkLiveness;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.wire.feed.ControlFrame;
 import org.waxwingbeam.wire.feed.EntryGreeting;
@@ -29,6 +30,7 @@
 /** Many entry instances that are connected to one control replica. */
 class FeedFleetTest {
   private static final long TICK_MS = 20;
+  private static final LinkLiveness.Timings LINK_TIMINGS = LinkLiveness.Timings.ofContact(3_000);
   private static final long SETTLE_MS = 1_500;
   private static final int TARGETS = 100;
 
@@ -69,7 +71,8 @@
 
   private void start(int entries) throws Exception {
     server =
-        new FeedServer(group, new Endpoint("127.0.0.1", 0), new Source(), (entry, frame) -> {});
+        new FeedServer(
+            group, new Endpoint("127.0.0.1", 0), LINK_TIMINGS, new Source(), (entry, frame) -> {});
     Endpoint endpoint = new Endpoint("127.0.0.1", server.port());
     for (int i = 0; i < entries; i++) {
       EntryGreeting greeting =
@@ -77,7 +80,8 @@
               .setName("front-" + i)
               .setLoadsAddress("127.0.0.1:" + (20_000 + i))
               .build();
-      clients.add(new FeedClient(group.next(), greeting, List.of(endpoint), new Listener()));
+      clients.add(
+          new FeedClient(group.next(), greeting, List.of(endpoint), LINK_TIMINGS, new Listener()));
     }
     tickEvery(
         () -> {
@@ -243,7 +247,12 @@
     start(1);
     for (int i = 0; i < 4; i++) {
       FeedServer other =
-          new FeedServer(group, new Endpoint("127.0.0.1", 0), new Source(), (entry, frame) -> {});
+          new FeedServer(
+              group,
+              new Endpoint("127.0.0.1", 0),
+              LINK_TIMINGS,
+              new Source(),
+              (entry, frame) -> {});
       otherServers.add(other);
       Endpoint endpoint = new Endpoint("127.0.0.1", other.port());
       onLoop(
--- a/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/explain/Explanation.java
+++ b/waxwingbeam-tools/src/main/java/org/waxwingbeam/tools/explain/Explanation.java
@@ -29,7 +29,7 @@
           "replica-failed",
           "entry-lost",
           "replica-lost",
-          "replica-silent",
+          "link-silent",
           "entry-leaving",
           "entry-started",
           "control-started",
