Entry streams of control replicas: bytes count, the bound is the contact time

What callers saw: an entry instance on a thin link that never gets a large configuration, because its connection to the leading replica ended 1.5 s after the last lease, again and again. A control replica kept connections that had gone silent, or never sent a hello, for 10 s, wrote updates into them meanwhile, and closed them without a log line.

Cause: ControlClient counted the time since the last whole lease, and EntryStreamServer used Netty's read time-out behind the frame decoder, both with constants of their own.

Now both use LinkLiveness through LinkMonitor, with the contact settings of the entry instance and of the control replica. Heartbeats and leases remain the pulses; no byte more is sent. A lease still covers the configuration for its own time only: this changes when a connection ends, not when a lease does. EntryStreamServer is ticked by the replica's timer, and checks its connections twice in each pulse interval instead of with a timer each.

ControlDaemonTest and ControlClusterTest pass the timings to the constructor; their checks are as they were.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ControlDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ControlDaemon.java
@@ -94,7 +94,7 @@
         new OperatorService(replicatedState, runner, entryRegistry, System::currentTimeMillis);
     moveLeader = new MoveLeader(replicatedState, runner, operatorService);
     entrySessions.onSamples(moveLeader::addReport);
-    entryServer = new EntryStreamServer(group, settings.entries(), entrySessions);
+    entryServer = new EntryStreamServer(group, settings.entries(), linkTimings(), entrySessions);
     operatorServer =
         new OperatorServer(
             group,
@@ -122,7 +122,11 @@
         settings.entries(),
         settings.initialReplicas(),
         tokens.processes(),
-        LinkLiveness.Timings.ofContact(settings.contactMs()));
+        linkTimings());
+  }
+
+  private LinkLiveness.Timings linkTimings() {
+    return LinkLiveness.Timings.ofContact(settings.contactMs());
   }
 
   private NotLeader leaderRedirect() {
@@ -245,6 +249,7 @@
     @Override
     public void onTick(long nowNanos) {
       entrySessions.tick(nowNanos);
+      entryServer.tick(nowNanos);
       if (runner.holdsLeaderLease(nowNanos)) {
         operatorService.tick(nowNanos);
       }
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/entry/EntryDaemon.java
@@ -110,6 +110,7 @@
             group.next(),
             new ControlClient.Identity(member(), token),
             settings.controlEndpoints(),
+            LinkLiveness.Timings.ofContact(settings.contactMs()),
             appliedConfiguration,
             this::onConfiguration);
     peerPresence = new PeerPresence(settings.instance(), bootId);
--- a/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/control/ControlClusterTest.java
+++ b/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/control/ControlClusterTest.java
@@ -29,6 +29,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.waxwingbeam.control.AppliedConfiguration;
+import org.waxwingbeam.control.LinkLiveness;
 import org.waxwingbeam.control.net.ControlClient;
 import org.waxwingbeam.model.InstanceName;
 import org.waxwingbeam.settings.ControlSettings;
@@ -232,6 +233,7 @@
         group.next(),
         new ControlClient.Identity(member, TOKEN),
         addresses.subList(REPLICAS, 2 * REPLICAS),
+        LinkLiveness.Timings.ofContact(3_000),
         applied,
         configuration -> {});
   }
--- a/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/control/ControlDaemonTest.java
+++ b/waxwingbeam-daemons/src/test/java/org/waxwingbeam/daemon/control/ControlDaemonTest.java
@@ -10,6 +10,8 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -26,6 +28,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.waxwingbeam.control.AppliedConfiguration;
+import org.waxwingbeam.control.LinkLiveness;
 import org.waxwingbeam.control.net.ControlClient;
 import org.waxwingbeam.model.InstanceName;
 import org.waxwingbeam.replica.ClaimStateMachine;
@@ -43,6 +46,7 @@
   private static final String TOKEN = "token-of-the-processes";
   private static final String OPERATOR_TOKEN = "token-of-the-operators";
   private static final long WAIT_MS = 20_000;
+  private static final int CONTACT_MS = 3_000;
 
   @TempDir Path folder;
   private final HttpClient http = HttpClient.newHttpClient();
@@ -87,6 +91,15 @@
     await(() -> status().getEntriesCount() == 0);
   }
 
+  /** Guards against accepted connections that say nothing and use up the descriptors. */
+  @Test
+  void acceptedConnectionWithoutHelloIsClosedWithinTheContactTime() throws Exception {
+    try (Socket silent = new Socket(InetAddress.getLoopbackAddress(), daemon.entriesPort())) {
+      silent.setSoTimeout(CONTACT_MS);
+      silent.getInputStream().readAllBytes();
+    }
+  }
+
   @Test
   void claimGetsItsResponseThroughTheLog() throws Exception {
     try (ControlClient entry = client(new AppliedConfiguration(), TOKEN)) {
@@ -161,7 +174,7 @@
         List.of(any),
         Files.writeString(folder.resolve("token"), TOKEN + "\n"),
         Files.writeString(folder.resolve("operator-token"), OPERATOR_TOKEN + "\n"),
-        3_000);
+        CONTACT_MS);
   }
 
   private ControlClient client(AppliedConfiguration applied, String token) {
@@ -176,6 +189,7 @@
         group.next(),
         new ControlClient.Identity(member, token),
         List.of(new Endpoint("127.0.0.1", daemon.entriesPort())),
+        LinkLiveness.Timings.ofContact(CONTACT_MS),
         applied,
         configuration -> {});
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/ControlClient.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/ControlClient.java
@@ -23,6 +23,7 @@
 import org.waxwingbeam.control.EntryStateReceiver.ChangeGapException;
 import org.waxwingbeam.control.LeaseTracker;
 import org.waxwingbeam.control.LeasedEntryView;
+import org.waxwingbeam.control.LinkLiveness;
 import org.waxwingbeam.control.PendingClaimCalls;
 import org.waxwingbeam.model.Configuration;
 import org.waxwingbeam.operator.MalformedMessageException;
@@ -41,7 +42,7 @@
  * configurations, entry views and leases, and to which it sends claims and canary samples.
  *
  * <pre>{@code
- * try (ControlClient client = new ControlClient(loop, identity, replicas, applied, listener)) {
+ * try (ControlClient client = new ControlClient(loop, id, replicas, timings, applied, listener)) {
  *   client.start();
  *   LeasedEntryView view = client.leasedView();
  * }
@@ -54,12 +55,12 @@
   private static final long HEARTBEAT_INTERVAL_MS = 500;
   private static final long RECONNECT_DELAY_MS = 100;
   private static final long TICK_MS = 20;
-  private static final long LEASE_TIMEOUT_MS = 1_500;
   private static final int CONNECT_TIMEOUT_MS = 500;
 
   private final EventLoop loop;
   private final Identity identity;
   private final List<Endpoint> replicas;
+  private final LinkLiveness.Timings linkTimings;
   private final AppliedConfiguration applied;
   private final LeaseTracker leases = new LeaseTracker();
   private final EntryStateReceiver receiver;
@@ -71,7 +72,6 @@
   private boolean connecting;
   private boolean closed;
   private long nextHeartbeatNanos;
-  private long lastLeaseNanos;
   private long nextConnectNanos;
   private volatile LeasedEntryView leasedView = LeasedEntryView.NONE;
 
@@ -94,6 +94,7 @@
    * @param loop the event loop that runs this client
    * @param identity identifies the entry instance
    * @param replicas the addresses at which the control replicas listen for entry instances
+   * @param linkTimings when a silent connection is replaced
    * @param applied holds the configuration
    * @param listener called on the loop with each newly applied configuration
    */
@@ -101,11 +102,13 @@
       EventLoop loop,
       Identity identity,
       List<Endpoint> replicas,
+      LinkLiveness.Timings linkTimings,
       AppliedConfiguration applied,
       Consumer<Configuration> listener) {
     this.loop = loop;
     this.identity = identity;
     this.replicas = List.copyOf(replicas);
+    this.linkTimings = linkTimings;
     this.applied = applied;
     receiver = new EntryStateReceiver(applied, leases, listener);
   }
@@ -183,15 +186,14 @@
     calls.expire(now);
     if (currentChannel.isPresent()) {
       sendHeartbeatIfDue(now);
+      currentChannel.ifPresent(each -> LinkMonitor.tickIfMonitored(each, now));
     } else if (!connecting && !closed && now - nextConnectNanos >= 0) {
       connect();
     }
   }
 
   private void sendHeartbeatIfDue(long now) {
-    if (now - lastLeaseNanos > TimeUnit.MILLISECONDS.toNanos(LEASE_TIMEOUT_MS)) {
-      currentChannel.ifPresent(Channels::close);
-    } else if (now - nextHeartbeatNanos >= 0) {
+    if (now - nextHeartbeatNanos >= 0) {
       nextHeartbeatNanos = now + TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_INTERVAL_MS);
       sendHeartbeat(now);
     }
@@ -239,7 +241,6 @@
       return;
     }
     currentChannel = Optional.of(done.channel());
-    lastLeaseNanos = now;
     nextHeartbeatNanos = now;
     LOG.infof("event=control-connected replica=%s", address);
     EntryHello hello =
@@ -286,9 +287,6 @@
       Channels.close(channel);
       return;
     }
-    if (message.hasLease()) {
-      lastLeaseNanos = now;
-    }
     leasedView = leases.toLeasedView(receiver.view());
     if (applied.current().number() > before || message.hasView()) {
       nextHeartbeatNanos = now;
@@ -310,7 +308,13 @@
   private final class Initializer extends ChannelInitializer<SocketChannel> {
     @Override
     protected void initChannel(SocketChannel channel) {
-      MessageFraming.addTo(channel.pipeline(), ControlMessage.getDefaultInstance());
+      LinkLiveness liveness =
+          new LinkLiveness(LinkLiveness.Side.OPENER, linkTimings, System.nanoTime());
+      // The heartbeats, to which the leading replica responds, are its pulses.
+      MessageFraming.addTo(
+          channel.pipeline(),
+          ControlMessage.getDefaultInstance(),
+          new LinkMonitor(liveness, due -> {}));
       channel.pipeline().addLast(new Handler());
     }
   }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/EntryStreamServer.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/EntryStreamServer.java
@@ -8,31 +8,44 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.timeout.ReadTimeoutHandler;
-import java.util.concurrent.TimeUnit;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
 import org.waxwingbeam.control.EntrySessions;
+import org.waxwingbeam.control.LinkLiveness;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.wire.control.ControlMessage;
 import org.waxwingbeam.wire.control.EntryMessage;
 
 /**
- * Accepts connections of entry instances at a control replica.
+ * Accepts connections of entry instances at a control replica, and closes those on which nothing
+ * arrives any more.
  *
  * @since 0.1.0
  */
 public final class EntryStreamServer implements AutoCloseable {
-  private static final long SILENCE_TIMEOUT_MS = 10_000;
+  /** Number of checks for silent connections in each pulse interval. */
+  private static final int CHECKS_PER_PULSE = 2;
 
   private final ServerListener listener;
+  private final LinkLiveness.Timings linkTimings;
+  private final Set<Channel> connections = new LinkedHashSet<>();
+  private long nextCheckNanos = System.nanoTime();
 
   /**
    * Starts listening for entry instances.
    *
    * @param group has a single event loop, which runs the sessions as well
    * @param address the address to listen on
+   * @param linkTimings when a silent connection is closed
    * @param sessions serves the connections
    */
-  public EntryStreamServer(EventLoopGroup group, Endpoint address, EntrySessions sessions) {
+  public EntryStreamServer(
+      EventLoopGroup group,
+      Endpoint address,
+      LinkLiveness.Timings linkTimings,
+      EntrySessions sessions) {
+    this.linkTimings = linkTimings;
     listener =
         ServerListener.bind(
             new ServerBootstrap()
@@ -47,12 +60,20 @@
     return listener.port();
   }
 
+  /** Closes the connections on which nothing arrives any more. Called on the event loop. */
+  public void tick(long nowNanos) {
+    if (nowNanos - nextCheckNanos >= 0) {
+      nextCheckNanos = nowNanos + linkTimings.pulseIntervalNanos() / CHECKS_PER_PULSE;
+      List.copyOf(connections).forEach(each -> LinkMonitor.tickIfMonitored(each, nowNanos));
+    }
+  }
+
   @Override
   public void close() {
     listener.close();
   }
 
-  private static final class Initializer extends ChannelInitializer<SocketChannel> {
+  private final class Initializer extends ChannelInitializer<SocketChannel> {
     private final EntrySessions sessions;
 
     Initializer(EntrySessions sessions) {
@@ -61,11 +82,16 @@
 
     @Override
     protected void initChannel(SocketChannel channel) {
-      MessageFraming.addTo(channel.pipeline(), EntryMessage.getDefaultInstance());
-      channel
-          .pipeline()
-          .addLast(new ReadTimeoutHandler(SILENCE_TIMEOUT_MS, TimeUnit.MILLISECONDS))
-          .addLast(new SessionHandler(sessions));
+      connections.add(channel);
+      channel.closeFuture().addListener(gone -> connections.remove(channel));
+      LinkLiveness liveness =
+          new LinkLiveness(LinkLiveness.Side.ACCEPTOR, linkTimings, System.nanoTime());
+      // Leases are the responses to the heartbeats of entry instances.
+      MessageFraming.addTo(
+          channel.pipeline(),
+          EntryMessage.getDefaultInstance(),
+          new LinkMonitor(liveness, due -> {}));
+      channel.pipeline().addLast(new SessionHandler(sessions));
     }
   }
 
