Metrics: requests that never arrive do not occupy the threads for ever

What operators saw: no metrics of a process any more, until it was started again. Ten readers whose connection went silent, or whose request arrived only in part, were enough; the server could not even be closed then.

Cause: the JDK's HTTP server reads a request on one of the exporter's ten threads, without a limit. The eleventh request blocks the thread that accepts and dispatches.

Now the JDK's limit on the time for a request to arrive is set, to 5 s, looked at every 5 s, unless the process sets its own.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/metrics/net/MetricsServer.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/metrics/net/MetricsServer.java
@@ -7,6 +7,7 @@
 
 /**
  * Serves the metrics of a registry over HTTP in the Prometheus text format, at {@code /metrics}.
+ * Requests that do not arrive in time are dropped.
  *
  * <pre>{@code
  * try (MetricsServer server = MetricsServer.start(settings.metrics(), registry)) {
@@ -17,6 +18,18 @@
  * @since 0.1.0
  */
 public final class MetricsServer implements AutoCloseable {
+  /** Longest time for a request to arrive, in seconds. */
+  private static final int REQUEST_TIMEOUT_S = 5;
+
+  /** Interval at which the server looks for requests that have not arrived in time. */
+  private static final int CHECK_INTERVAL_MS = 5_000;
+
+  static {
+    // Without it, a request that never arrives completely occupies one of a few threads for ever.
+    setIfAbsent("sun.net.httpserver.maxReqTime", REQUEST_TIMEOUT_S);
+    setIfAbsent("sun.net.httpserver.timerMillis", CHECK_INTERVAL_MS);
+  }
+
   private final HTTPServer server;
 
   private MetricsServer(HTTPServer server) {
@@ -50,6 +63,12 @@
             .buildAndStart());
   }
 
+  private static void setIfAbsent(String property, int value) {
+    if (System.getProperty(property) == null) {
+      System.setProperty(property, Integer.toString(value));
+    }
+  }
+
   /** Returns the port on which the server listens. */
   public int port() {
     return server.getPort();
