Say why no leader is known in refused orders, reads and leaves

Each refused order now names a cause and counts; once a second it lists up to seven voters with their links and votes.

Election decisions are unchanged: the replies of a round moved to VoteRound, which also keeps refusals for the report.

--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ControlDaemon.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ControlDaemon.java
@@ -259,7 +259,9 @@
               runner.replica().appliedIndex(),
               runner.holdsLeaderLease(nowNanos),
               replicatedState.configuration().number(),
-              entrySessions.sessionCount()));
+              entrySessions.sessionCount(),
+              runner.replica().elections(),
+              runner.linksLost()));
     }
 
     @Override
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ReplicaOperations.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/control/ReplicaOperations.java
@@ -9,6 +9,8 @@
 import org.waxwingbeam.operator.OperatorService;
 import org.waxwingbeam.operator.OperatorService.ChangeOutcome;
 import org.waxwingbeam.operator.net.OperatorOperations;
+import org.waxwingbeam.replica.LeaderAbsence;
+import org.waxwingbeam.replica.LeaderAbsenceText;
 import org.waxwingbeam.replica.ProposalOutcome;
 import org.waxwingbeam.replica.Replica;
 import org.waxwingbeam.replica.ReplicatedState;
@@ -58,7 +60,15 @@
   private void countOutcome(ChangeOutcome outcome) {
     switch (outcome) {
       case ChangeOutcome.Decided decided -> metrics.onChangeResult(decided.response().getResult());
-      case ChangeOutcome.NotLeader notLeader -> metrics.onNotLeader();
+      case ChangeOutcome.NotLeader notLeader -> countNotLeader();
+    }
+  }
+
+  private void countNotLeader() {
+    metrics.onNotLeader();
+    if (runner.leaderAddress().isEmpty()) {
+      LeaderAbsence absence = runner.leaderAbsence(System.nanoTime());
+      metrics.onNoLeader(LeaderAbsenceText.name(absence.cause()));
     }
   }
 
--- a/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
+++ b/waxwingbeam-daemons/src/main/java/org/waxwingbeam/daemon/routed/RoutedControl.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
+import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
@@ -18,6 +19,8 @@
 import org.waxwingbeam.model.InstanceName;
 import org.waxwingbeam.replica.CommandResult;
 import org.waxwingbeam.replica.Journal;
+import org.waxwingbeam.replica.LeaderAbsence;
+import org.waxwingbeam.replica.LeaderAbsenceText;
 import org.waxwingbeam.replica.ProposalOutcome;
 import org.waxwingbeam.replica.Replica;
 import org.waxwingbeam.replica.ReplicatedState;
@@ -80,6 +83,8 @@
   private final MoveRunner moveRunner;
   private final TargetDirectory targetDirectory = new TargetDirectory();
   private final Runnable onFailure;
+  private final AbsenceLogLimit absenceLogLimit = new AbsenceLogLimit();
+  private long readRefusalsLeftOut;
   private long publishedRevision;
   private Membership loggedMembership = Membership.getDefaultInstance();
 
@@ -200,7 +205,7 @@
     long now = System.nanoTime();
     boolean leaving = record.getState() != TargetRecord.State.READY;
     if (leaving && !runner.replica().hasQuorumContact(now)) {
-      LOG.warn("target-leave-refused", "target", record.getId(), "reason", "no-majority");
+      logLeaveRefusal(now, record.getId());
       receiver.accept(false);
       return;
     }
@@ -216,6 +221,28 @@
     }
   }
 
+  private void logLeaveRefusal(long nowNanos, String target) {
+    LeaderAbsence absence = runner.leaderAbsence(nowNanos);
+    List<Object> pairs = List.of("target", target, "reason", "no-majority");
+    LOG.warn("target-leave-refused", withAbsence(nowNanos, absence, pairs));
+  }
+
+  /** Returns pairs with why there is no leader, in full if that is due. */
+  private Object[] withAbsence(long nowNanos, LeaderAbsence absence, List<Object> pairs) {
+    List<Object> details =
+        absenceLogLimit.tryAcquire(nowNanos, absence.cause())
+            ? LeaderAbsenceText.details(absence)
+            : List.of();
+    return Stream.of(pairs, LeaderAbsenceText.summary(absence), details)
+        .flatMap(List::stream)
+        .toArray();
+  }
+
+  /** Returns what is known of why no leader is known. */
+  public LeaderAbsence leaderAbsence() {
+    return runner.leaderAbsence(System.nanoTime());
+  }
+
   /**
    * Proposes an operator's routing change for the replicated log. An accepted change is reported
    * once every connected entry instance has applied it, or after {@link
@@ -230,18 +257,7 @@
         outcome -> {
           OrderOutcome result = toOrderOutcome(outcome);
           long revision = replicatedState.routing().state().getRevision();
-          LOG.info(
-              "order",
-              "kind",
-              change.getKindCase(),
-              "version",
-              change.getPutDocument().getDocument().getVersion(),
-              "outcome",
-              result,
-              "detail",
-              outcome,
-              "revision",
-              revision);
+          logOrder(change, result, outcome, revision);
           if (result instanceof OrderOutcome.Accepted) {
             whenInForce(revision, () -> receiver.accept(result));
           } else {
@@ -250,6 +266,29 @@
         });
   }
 
+  private void logOrder(
+      RoutingChange change, OrderOutcome result, ProposalOutcome outcome, long revision) {
+    boolean leaderless = result.equals(new OrderOutcome.Elsewhere(Optional.empty()));
+    Object[] pairs = {
+      "kind",
+      change.getKindCase(),
+      "version",
+      change.getPutDocument().getDocument().getVersion(),
+      "outcome",
+      result,
+      "detail",
+      leaderless ? "no-leader" : outcome,
+      "revision",
+      revision
+    };
+    if (leaderless) {
+      long now = System.nanoTime();
+      LOG.info("order", withAbsence(now, runner.leaderAbsence(now), Arrays.asList(pairs)));
+    } else {
+      LOG.info("order", pairs);
+    }
+  }
+
   private void whenInForce(long revision, Runnable task) {
     feed.whenRoutingApplied(
         revision,
@@ -300,7 +339,32 @@
                     ? new ReadOutcome.Current(
                         replicatedState.routing().state(),
                         replicatedState.routing().documentSource())
-                    : new ReadOutcome.NotLeader(leaderHost())));
+                    : refusedRead()));
+  }
+
+  private ReadOutcome refusedRead() {
+    Optional<String> leaderHost = leaderHost();
+    if (leaderHost.isEmpty()) {
+      logReadRefusal(System.nanoTime());
+    }
+    return new ReadOutcome.NotLeader(leaderHost);
+  }
+
+  private void logReadRefusal(long nowNanos) {
+    LeaderAbsence absence = runner.leaderAbsence(nowNanos);
+    if (!absenceLogLimit.tryAcquire(nowNanos, absence.cause())) {
+      readRefusalsLeftOut++;
+      return;
+    }
+    LOG.info(
+        "read-refused",
+        Stream.of(
+                LeaderAbsenceText.summary(absence),
+                LeaderAbsenceText.details(absence),
+                List.of("left_out", readRefusalsLeftOut))
+            .flatMap(List::stream)
+            .toArray());
+    readRefusalsLeftOut = 0;
   }
 
   private void receiveFrame(String entry, EntryFrame frame) {
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/metrics/ControlMetrics.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/metrics/ControlMetrics.java
@@ -13,6 +13,9 @@
  */
 public final class ControlMetrics {
   private final Counter changes;
+  private final Counter leaderlessRefusals;
+  private final Counter elections;
+  private final Counter linksLost;
   private final Gauge term;
   private final Gauge appliedIndex;
   private final Gauge leads;
@@ -31,6 +34,14 @@
             .help("Changes that operators sent, by result")
             .labelNames("result")
             .register(registry);
+    leaderlessRefusals =
+        Counter.builder()
+            .name("waxwingbeam_control_leaderless_refusals_total")
+            .help("Changes refused because no leader was known, by cause")
+            .labelNames("cause")
+            .register(registry);
+    elections = counter(registry, "elections", "Elections that the replica has started");
+    linksLost = counter(registry, "links_lost", "Connections to other replicas that were closed");
     term = gauge(registry, "term", "Newest term that the replica knows");
     appliedIndex = gauge(registry, "applied_index", "Last index of the log that was applied");
     leads = gauge(registry, "leads", "1 while the replica leads and may answer, else 0");
@@ -43,6 +54,13 @@
     return Gauge.builder().name("waxwingbeam_control_" + name).help(help).register(registry);
   }
 
+  private static Counter counter(PrometheusRegistry registry, String name, String help) {
+    return Counter.builder()
+        .name("waxwingbeam_control_%s_total".formatted(name))
+        .help(help)
+        .register(registry);
+  }
+
   /** Counts the result of an operator's change. */
   public void onChangeResult(ChangeAnswer.Result result) {
     changes.labelValues(result.name().toLowerCase(Locale.ROOT)).inc();
@@ -54,7 +72,16 @@
   }
 
   /**
-   * Sets the gauges to the current state of the replica.
+   * Counts a change that was refused because no leader was known.
+   *
+   * @param cause the name of the likely cause
+   */
+  public void onNoLeader(String cause) {
+    leaderlessRefusals.labelValues(cause).inc();
+  }
+
+  /**
+   * Sets the gauges and counters to the current state of the replica.
    *
    * @param state the state
    */
@@ -64,6 +91,8 @@
     leads.set(state.leads() ? 1 : 0);
     configurationNumber.set((double) state.configurationNumber());
     entries.set(state.entries());
+    elections.inc(state.elections() - elections.get());
+    linksLost.inc(state.linksLost() - linksLost.get());
   }
 
   /**
@@ -74,7 +103,15 @@
    * @param leads whether it is the leader and may serve requests
    * @param configurationNumber the number of its latest configuration
    * @param entries number of entry instances that are connected to it
+   * @param elections number of elections it has started; never decreases
+   * @param linksLost number of its connections to other replicas that were closed; never decreases
    */
   public record ReplicaState(
-      long term, long appliedIndex, boolean leads, long configurationNumber, int entries) {}
+      long term,
+      long appliedIndex,
+      boolean leads,
+      long configurationNumber,
+      int entries,
+      long elections,
+      long linksLost) {}
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Replica.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Replica.java
@@ -47,6 +47,7 @@
   private final Consumer<LogEntry> appliedListener;
   private final ReplicaElection election;
   private final ElectionTimer timer;
+  private final LeaderSearch leaderSearch;
   private final LastContacts lastContacts = new LastContacts();
   private final PendingProposals proposals = new PendingProposals();
   private final PendingConfirmations confirmations = new PendingConfirmations();
@@ -137,6 +138,7 @@
     election = new ReplicaElection(id, durableLog, this::send);
     recover();
     timer = new ElectionTimer(random, nowNanos);
+    leaderSearch = new LeaderSearch(nowNanos);
     nextCompactionNanos = nowNanos;
   }
 
@@ -249,6 +251,8 @@
       return;
     }
     lastContacts.record(nowNanos, message.getFrom());
+    leaderSearch.recordMessage(nowNanos, message.getFrom(), log.membership());
+    election.recordRefusal(message);
     boolean keepsLeader = role == ReplicaRole.LEADER || timer.hasRecentLeaderContact(nowNanos);
     if (message.hasVoteRequest() && keepsLeader) {
       send(election.reply(message, false));
@@ -279,6 +283,9 @@
     if (role != ReplicaRole.FOLLOWER) {
       timer.reset(nowNanos);
     }
+    if (role == ReplicaRole.LEADER) {
+      leaderSearch.recordLeader(nowNanos, id);
+    }
     role = ReplicaRole.FOLLOWER;
     leaderId = leader;
     leaderState = Optional.empty();
@@ -309,6 +316,7 @@
   private void startPreVote(long nowNanos) {
     role = ReplicaRole.CANDIDATE;
     leaderId = Optional.empty();
+    leaderSearch.recordPreVote();
     timer.resetForRetry(nowNanos);
     if (election.startRound(term() + 1, true)) {
       startElection(nowNanos);
@@ -317,6 +325,7 @@
 
   private void startElection(long nowNanos) {
     durableLog.enterTerm(term() + 1, id);
+    leaderSearch.recordElection();
     timer.resetForRetry(nowNanos);
     if (election.startRound(term(), false)) {
       becomeLeader(nowNanos);
@@ -357,6 +366,7 @@
   private void followLeader(long nowNanos, String leader) {
     becomeFollower(nowNanos, Optional.of(leader));
     timer.recordLeaderContact(nowNanos);
+    leaderSearch.recordLeader(nowNanos, leader);
   }
 
   private void reply(ReplicaMessage request, long sentNanos, boolean matched, long index) {
@@ -572,6 +582,32 @@
     return leaderId;
   }
 
+  /**
+   * Returns what is known of why there is no leader.
+   *
+   * @param nowNanos the current time
+   * @param links the connections with the other replicas
+   */
+  public LeaderAbsence leaderAbsence(long nowNanos, ReplicaLinks links) {
+    Optional<VoteRound> round = election.lastRound();
+    List<ReplicaMember> voters = log.membership().getVotersList();
+    return new LeaderAbsence(
+        new LeaderAbsence.Standing(
+            role(), resigned, Memberships.isVoter(log.membership(), id), term(), leaderId),
+        leaderSearch.lastLeader(nowNanos),
+        leaderSearch.campaign(round),
+        voters.stream()
+            .map(each -> leaderSearch.voter(nowNanos, each, each.getId().equals(id), round, links))
+            .toList(),
+        log.membership().getLearnersCount(),
+        links.failures(nowNanos));
+  }
+
+  /** Returns the number of elections that this replica has started since its process started. */
+  public long elections() {
+    return leaderSearch.totalElections();
+  }
+
   /** Returns the index of the last entry that is known to be committed. */
   public long commitIndex() {
     return commitIndex;
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaElection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaElection.java
@@ -1,7 +1,6 @@
 package org.waxwingbeam.replica;
 
-import java.util.Set;
-import java.util.TreeSet;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.waxwingbeam.wire.replica.Membership;
 import org.waxwingbeam.wire.replica.ReplicaMember;
@@ -15,15 +14,15 @@
   private final DurableLog durableLog;
   private final ReplicaLog log;
   private final Consumer<ReplicaMessage.Builder> outgoing;
-  private final Set<String> grantingVoters = new TreeSet<>();
-  private boolean preVote;
-  private long campaignTerm;
+  private Optional<VoteRound> previousRound = Optional.empty();
+  private VoteRound round;
 
   ReplicaElection(String id, DurableLog durableLog, Consumer<ReplicaMessage.Builder> outgoing) {
     this.id = id;
     this.durableLog = durableLog;
     log = durableLog.entries();
     this.outgoing = outgoing;
+    round = new VoteRound(id, 0, true);
   }
 
   /**
@@ -35,10 +34,8 @@
    * @return whether this replica's own vote is a majority
    */
   boolean startRound(long newTerm, boolean asPreVote) {
-    preVote = asPreVote;
-    campaignTerm = newTerm;
-    grantingVoters.clear();
-    grantingVoters.add(id);
+    previousRound = Optional.of(round).filter(each -> each.term() > 0);
+    round = new VoteRound(id, newTerm, asPreVote);
     VoteRequest.Builder request =
         VoteRequest.newBuilder()
             .setPreVote(asPreVote)
@@ -57,7 +54,25 @@
 
   /** Returns whether the current round is a pre-vote. */
   boolean isPreVote() {
-    return preVote;
+    return round.isPreVote();
+  }
+
+  /**
+   * Returns the current or last round, or the one before it if only that one has replies; empty
+   * before the first one.
+   */
+  Optional<VoteRound> lastRound() {
+    return Optional.of(round)
+        .filter(VoteRound::hasReplies)
+        .or(() -> previousRound.filter(VoteRound::hasReplies))
+        .or(() -> Optional.of(round).filter(each -> each.term() > 0));
+  }
+
+  /** Records a vote reply if it refuses a vote of the current round. It decides nothing. */
+  void recordRefusal(ReplicaMessage message) {
+    if (message.hasVoteReply() && Memberships.isVoter(log.membership(), message.getFrom())) {
+      round.recordRefusal(message);
+    }
   }
 
   /**
@@ -67,14 +82,10 @@
    */
   boolean countVote(ReplicaMessage message) {
     long term = durableLog.term();
-    VoteReply reply = message.getVoteReply();
-    boolean valid =
-        reply.getGranted()
-            && reply.getPreVote() == preVote
-            && message.getTerm() == campaignTerm
-            && (preVote ? campaignTerm == term + 1 : campaignTerm == term);
+    boolean current = round.isPreVote() ? round.term() == term + 1 : round.term() == term;
+    boolean valid = current && round.isGranted(message);
     if (valid) {
-      grantingVoters.add(message.getFrom());
+      round.recordGrant(message.getFrom());
     }
     return valid && hasMajority();
   }
@@ -82,9 +93,7 @@
   private boolean hasMajority() {
     Membership membership = log.membership();
     long votes =
-        membership.getVotersList().stream()
-            .filter(voter -> grantingVoters.contains(voter.getId()))
-            .count();
+        membership.getVotersList().stream().filter(voter -> round.hasGrant(voter.getId())).count();
     return votes >= Memberships.majority(membership);
   }
 
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaConnections.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaConnections.java
@@ -15,6 +15,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
@@ -24,6 +25,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -32,9 +34,12 @@
 import org.waxwingbeam.control.net.LinkMonitor;
 import org.waxwingbeam.control.net.MessageFraming;
 import org.waxwingbeam.logging.EventLog;
+import org.waxwingbeam.replica.KnownReplicas;
+import org.waxwingbeam.replica.ReplicaLinks;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.wire.replica.ReplicaFrame;
 import org.waxwingbeam.wire.replica.ReplicaHello;
+import org.waxwingbeam.wire.replica.ReplicaMember;
 import org.waxwingbeam.wire.replica.ReplicaMessage;
 
 /**
@@ -44,7 +49,7 @@
  *
  * @since 0.1.0
  */
-public final class ReplicaConnections implements AutoCloseable {
+public final class ReplicaConnections implements ReplicaLinks, AutoCloseable {
   private static final int CONNECT_TIMEOUT_MS = 500;
   private static final EventLog LOG = new EventLog(ReplicaConnections.class);
 
@@ -59,6 +64,11 @@
   private final Map<String, OutboundConnection> outboundByAddress = new TreeMap<>();
   private final Map<String, Channel> channelById = new HashMap<>();
   private final Map<Channel, String> idByChannel = new HashMap<>();
+  private long linksLost;
+  private long messagesFailed;
+  private Optional<HandlerFailure> lastFailure = Optional.empty();
+
+  private record HandlerFailure(String type, long atNanos) {}
 
   /** A connection opened by this replica; it has no channel until it is established. */
   private record OutboundConnection(Optional<Channel> channel) {}
@@ -149,6 +159,7 @@
   private void removeConnection(Endpoint address, Channel channel) {
     outboundByAddress.remove(address.toString());
     channelById.values().removeIf(channel::equals);
+    linksLost++;
     LOG.info("replica-link-lost", "at", address);
   }
 
@@ -178,6 +189,43 @@
     return idByChannel.containsValue(id);
   }
 
+  @Override
+  public Link link(ReplicaMember member) {
+    boolean inbound =
+        idByChannel.entrySet().stream()
+            .anyMatch(each -> each.getValue().equals(member.getId()) && !isOutbound(each.getKey()));
+    Optional<OutboundConnection> connection =
+        Optional.ofNullable(outboundByAddress.get(KnownReplicas.address(member).toString()));
+    Optional<Channel> channel =
+        Optional.ofNullable(channelById.get(member.getId()))
+            .or(() -> connection.flatMap(OutboundConnection::channel));
+    Optional<Long> silentMs =
+        channel.map(each -> each.pipeline().get(LinkMonitor.class)).map(LinkMonitor::silentMs);
+    return new Link(outbound(member, connection, channel), inbound, silentMs);
+  }
+
+  private Outbound outbound(
+      ReplicaMember member, Optional<OutboundConnection> connection, Optional<Channel> channel) {
+    if (channel.isEmpty()) {
+      return connection.isPresent() ? Outbound.CONNECTING : Outbound.NONE;
+    }
+    return channel
+        .map(idByChannel::get)
+        .map(id -> id.equals(member.getId()) ? Outbound.GREETED : Outbound.OTHER_REPLICA)
+        .orElse(Outbound.OPEN);
+  }
+
+  @Override
+  public Failures failures(long nowNanos) {
+    return new Failures(
+        linksLost,
+        messagesFailed,
+        lastFailure.map(
+            each ->
+                new Failure(
+                    each.type(), TimeUnit.NANOSECONDS.toMillis(nowNanos - each.atNanos()))));
+  }
+
   private boolean isOutbound(Channel channel) {
     return outboundByAddress.values().stream()
         .anyMatch(each -> each.channel().equals(Optional.of(channel)));
@@ -255,6 +303,11 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      if (!(cause instanceof IOException)) {
+        messagesFailed++;
+        lastFailure =
+            Optional.of(new HandlerFailure(cause.getClass().getSimpleName(), System.nanoTime()));
+      }
       LOG.warn("replica-link-failed", "remote", context.channel().remoteAddress(), "reason", cause);
       Channels.close(context.channel());
     }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaRunner.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaRunner.java
@@ -14,6 +14,7 @@
 import org.waxwingbeam.control.LinkLiveness;
 import org.waxwingbeam.replica.CommandLog;
 import org.waxwingbeam.replica.KnownReplicas;
+import org.waxwingbeam.replica.LeaderAbsence;
 import org.waxwingbeam.replica.MembershipCoordinator;
 import org.waxwingbeam.replica.ProposalOutcome;
 import org.waxwingbeam.replica.Replica;
@@ -339,6 +340,16 @@
     return replica;
   }
 
+  /** See {@link Replica#leaderAbsence}; must be called on the event loop. */
+  public LeaderAbsence leaderAbsence(long nowNanos) {
+    return replica.leaderAbsence(nowNanos, connections);
+  }
+
+  /** Returns the number of connections to other replicas that were lost since the start. */
+  public long linksLost() {
+    return connections.failures(System.nanoTime()).lost();
+  }
+
   /** Returns the hellos of the other replicas. */
   public KnownReplicas knownReplicas() {
     return knownReplicas;
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/replica/net/ReplicaConnectionsTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/replica/net/ReplicaConnectionsTest.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.waxwingbeam.control.LinkLiveness;
 import org.waxwingbeam.control.net.SilentRelay;
+import org.waxwingbeam.replica.ReplicaLinks;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.wire.replica.ReplicaHello;
 import org.waxwingbeam.wire.replica.ReplicaMember;
@@ -189,4 +190,80 @@
       assertThat(group.next().submit(() -> other.isLinked("own")).get()).isFalse();
     }
   }
+
+  private static ReplicaMember member(String id, ReplicaConnections connections) {
+    return ReplicaMember.newBuilder()
+        .setId(id)
+        .setHost("127.0.0.1")
+        .setPort(connections.port())
+        .build();
+  }
+
+  @Test
+  void linkTellsWhichSideHasConnected() throws Exception {
+    CountDownLatch hellos = new CountDownLatch(1);
+    try (ReplicaConnections other = connections("other", new CountDownLatch(0));
+        ReplicaConnections own = connections("own", hellos)) {
+      group.next().submit(() -> own.connectTo(Set.of(address(other)))).get();
+      assertThat(hellos.await(5, TimeUnit.SECONDS)).isTrue();
+
+      ReplicaLinks.Link outbound =
+          group.next().submit(() -> own.link(member("other", other))).get();
+      ReplicaLinks.Link inbound = group.next().submit(() -> other.link(member("own", own))).get();
+
+      assertThat(outbound.outbound()).isEqualTo(ReplicaLinks.Outbound.GREETED);
+      assertThat(outbound.inbound()).isFalse();
+      assertThat(inbound.outbound()).isEqualTo(ReplicaLinks.Outbound.NONE);
+      assertThat(inbound.inbound()).isTrue();
+    }
+  }
+
+  @Test
+  void linkTellsThatAnotherReplicaHasTheAddressOfTheMember() throws Exception {
+    CountDownLatch hellos = new CountDownLatch(1);
+    try (ReplicaConnections other = connections("successor", new CountDownLatch(0));
+        ReplicaConnections own = connections("own", hellos)) {
+      group.next().submit(() -> own.connectTo(Set.of(address(other)))).get();
+      assertThat(hellos.await(5, TimeUnit.SECONDS)).isTrue();
+
+      ReplicaLinks.Link link = group.next().submit(() -> own.link(member("gone", other))).get();
+
+      assertThat(link.outbound()).isEqualTo(ReplicaLinks.Outbound.OTHER_REPLICA);
+    }
+  }
+
+  @Test
+  void exceptionInTheHandlingOfMessagesIsCounted() throws Exception {
+    CountDownLatch hellos = new CountDownLatch(1);
+    try (ReplicaConnections other =
+            new ReplicaConnections(
+                group,
+                ANY_PORT,
+                "token",
+                LinkLiveness.Timings.ofContact(CONTACT_MS),
+                ReplicaHello::getDefaultInstance,
+                hello -> {},
+                message -> {
+                  throw new IllegalStateException("expected by the test");
+                });
+        ReplicaConnections own = connections("own", hellos)) {
+      group.next().submit(() -> own.connectTo(Set.of(address(other)))).get();
+      assertThat(hellos.await(5, TimeUnit.SECONDS)).isTrue();
+      group.next().submit(() -> own.send(ReplicaMessage.getDefaultInstance())).get();
+
+      ReplicaLinks.Failures failures = awaitFailure(other);
+
+      assertThat(failures.failed()).isEqualTo(1);
+      assertThat(failures.last().orElseThrow().type()).isEqualTo("IllegalStateException");
+    }
+  }
+
+  private ReplicaLinks.Failures awaitFailure(ReplicaConnections connections) throws Exception {
+    long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+    ReplicaLinks.Failures failures = ReplicaLinks.Failures.NONE;
+    while (failures.failed() == 0 && System.nanoTime() < deadline) {
+      failures = group.next().submit(() -> connections.failures(System.nanoTime())).get();
+    }
+    return failures;
+  }
 }
