What a replica tells its peers and whom it connects to is decided without network

ReplicaPeers takes over from ReplicaRunner the addresses to connect to, the hello, when it is repeated and when a replica may depart, so that a simulated group runs the same decisions on a manual clock. Nothing else changes.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaRunner.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaRunner.java
@@ -3,14 +3,10 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.waxwingbeam.control.LinkLiveness;
 import org.waxwingbeam.replica.CommandLog;
 import org.waxwingbeam.replica.KnownReplicas;
@@ -18,10 +14,10 @@
 import org.waxwingbeam.replica.MembershipCoordinator;
 import org.waxwingbeam.replica.ProposalOutcome;
 import org.waxwingbeam.replica.Replica;
+import org.waxwingbeam.replica.ReplicaPeers;
 import org.waxwingbeam.replica.VoterSetManager;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.wire.replica.Command;
-import org.waxwingbeam.wire.replica.Membership;
 import org.waxwingbeam.wire.replica.ReplicaHello;
 import org.waxwingbeam.wire.replica.ReplicaMember;
 import org.waxwingbeam.wire.replica.ReplicaMessage;
@@ -34,23 +30,19 @@
  */
 public final class ReplicaRunner implements CommandLog, AutoCloseable {
   private static final long TICK_MS = 20;
-  private static final long ANNOUNCE_INTERVAL_MS = 500;
 
   private final EventLoop loop;
   private final Replica replica;
   private final MembershipCoordinator membershipCoordinator;
   private final KnownReplicas knownReplicas;
+  private final ReplicaPeers peers;
   private final VoterSetManager voterSetManager;
   private final Settings settings;
   private final Listener listener;
   private final ReplicaConnections connections;
-  private final Set<Endpoint> addedAddresses = new HashSet<>();
   private boolean flushScheduled;
-  private boolean wasUninitialized = true;
-  private boolean couldJoin = true;
   private long notifiedTerm;
   private long notifiedIndex;
-  private long nextAnnounceNanos;
   private boolean leaving;
   private Optional<Runnable> departureListener = Optional.empty();
 
@@ -138,6 +130,9 @@
     membershipCoordinator = new MembershipCoordinator(replica);
     knownReplicas =
         new KnownReplicas(settings.initialAddresses(), settings.membershipPolicy().mayCreate());
+    peers =
+        new ReplicaPeers(
+            replica, knownReplicas, settings.entryAddress(), settings.initialAddresses());
     voterSetManager =
         new VoterSetManager(
             replica,
@@ -157,7 +152,7 @@
 
   /** Adds addresses at which to look for other replicas; must be called on the event loop. */
   public void addAddresses(List<Endpoint> addresses) {
-    addedAddresses.addAll(addresses);
+    peers.addAddresses(addresses);
   }
 
   /** Starts the timer that drives the replica. */
@@ -182,16 +177,7 @@
   }
 
   private ReplicaHello hello() {
-    return ReplicaHello.newBuilder()
-        .setMember(member())
-        .setFresh(replica.isUninitialized())
-        .setMayJoin(replica.mayJoin())
-        .setLeaving(leaving)
-        .addAllMembers(replica.membership().getVotersList())
-        .addAllMembers(replica.membership().getLearnersList())
-        .setEntriesHost(settings.entryAddress().host())
-        .setEntriesPort(settings.entryAddress().port())
-        .build();
+    return peers.hello(member(), leaving);
   }
 
   private void receive(ReplicaMessage message) {
@@ -202,8 +188,10 @@
   private void tick() {
     long now = System.nanoTime();
     connections.tick(now);
-    connections.connectTo(otherAddresses(now));
-    announceIfDue(now);
+    connections.connectTo(peers.otherAddresses(now, KnownReplicas.address(member())));
+    if (peers.takeAnnouncement(now)) {
+      connections.announce();
+    }
     if (replica.isUninitialized()) {
       knownReplicas
           .initialVoters(member(), settings.replicaAddress())
@@ -252,40 +240,7 @@
   }
 
   private boolean mayDepart() {
-    Membership membership = replica.membership();
-    boolean votes =
-        membership.getVotersList().stream().anyMatch(each -> each.getId().equals(replica.id()));
-    return !votes
-        || membership.getLearnersList().stream()
-            .map(ReplicaMember::getId)
-            .noneMatch(connections::isLinked);
-  }
-
-  private void announceIfDue(long now) {
-    boolean changed =
-        (wasUninitialized && !replica.isUninitialized()) || couldJoin != replica.mayJoin();
-    if (changed || (replica.isUninitialized() && now - nextAnnounceNanos >= 0)) {
-      wasUninitialized = replica.isUninitialized();
-      couldJoin = replica.mayJoin();
-      nextAnnounceNanos = now + TimeUnit.MILLISECONDS.toNanos(ANNOUNCE_INTERVAL_MS);
-      connections.announce();
-    }
-  }
-
-  private Set<Endpoint> otherAddresses(long nowNanos) {
-    Stream<Endpoint> members =
-        Stream.concat(
-                replica.membership().getVotersList().stream(),
-                replica.membership().getLearnersList().stream())
-            .map(KnownReplicas::address);
-    Stream<Endpoint> reported =
-        replica.hasQuorumContact(nowNanos) ? Stream.empty() : knownReplicas.reportedAddresses();
-    Endpoint own = KnownReplicas.address(member());
-    return Stream.of(
-            settings.initialAddresses().stream(), addedAddresses.stream(), members, reported)
-        .flatMap(each -> each)
-        .filter(each -> !each.equals(own) && each.port() > 0)
-        .collect(Collectors.toSet());
+    return peers.mayDepart(connections::isLinked);
   }
 
   private void scheduleFlush() {
