A replica connects to the leader that it hears

What callers saw: a control replica that lost its disk, or the successor of a lost machine, stayed a learner without any entry for good; after further losses no majority was left.

Cause: a replica sends only on connections that it has opened. One that hears a leader dropped the members that others had reported. If the leader reached it first and is neither a seed nor in its log, it heard every heartbeat and could not answer one.

Why it works: whoever sends entries has said hello first, so the address of the leader is known and stays among those to connect to.

Test: ReplicaPeersTest.replicaConnectsToTheLeaderThatItHears; failed before.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaPeers.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaPeers.java
@@ -86,7 +86,15 @@
             .map(KnownReplicas::address);
     Stream<Endpoint> reported =
         replica.hasQuorumContact(nowNanos) ? Stream.empty() : knownReplicas.reportedAddresses();
-    return Stream.of(configuredAddresses.stream(), members, reported)
+    // The members that this replica knows may lack the leader, which needs its replies.
+    Stream<Endpoint> leader =
+        replica
+            .leaderId()
+            .flatMap(knownReplicas::byId)
+            .map(ReplicaHello::getMember)
+            .map(KnownReplicas::address)
+            .stream();
+    return Stream.of(configuredAddresses.stream(), members, reported, leader)
         .flatMap(each -> each)
         .filter(each -> !each.equals(own) && each.port() > 0)
         .collect(Collectors.toSet());
