A voter that is gone is removed before its successor votes

What callers saw: with two of five machines lost, the loss of a successor at the moment when it became a voter left the core without a leader for good.

Cause: the successor became an additional voter first. Six voters need four, of which two were gone, so the successor itself had to stay until the removal of the lost voter was committed.

Why it works: five voters of which one is gone need three, as do the four others without it; so the removal needs nothing more. The learner then fills the free place, and its loss is no worse than before. Further voters are removed only once the number is complete again. A voter that replies and leaves is still replaced by adding first, which then tolerates more.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/VoterSetManager.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/VoterSetManager.java
@@ -169,23 +169,23 @@
 
   private void promote(
       long nowNanos, Membership membership, ReplicaMember learner, Set<String> leaving) {
-    Optional<ReplicaMember> lostDisk =
-        longestSilent(
-            nowNanos,
-            membership,
-            each -> isReplacedBy(each, learner) && !isResponsive(nowNanos, each));
-    if (lostDisk.isPresent()) {
-      replace(nowNanos, lostDisk.get(), learner);
-    } else if (membership.getVotersCount() < wantedVoters) {
+    if (membership.getVotersCount() < wantedVoters) {
       coordinator.addVoter(nowNanos, learner.getId());
-    } else {
-      long timeout = silenceTimeoutNanos(nowNanos, learner);
-      longestSilent(
-              nowNanos,
-              membership,
-              each -> leaving.contains(each.getId()) || silenceNanos(nowNanos, each) >= timeout)
-          .ifPresent(each -> replace(nowNanos, each, learner));
+      return;
     }
+    long timeout = silenceTimeoutNanos(nowNanos, learner);
+    longestSilent(
+            nowNanos,
+            membership,
+            each -> isReplacedBy(each, learner) && !isResponsive(nowNanos, each))
+        .or(
+            () ->
+                longestSilent(
+                    nowNanos,
+                    membership,
+                    each ->
+                        leaving.contains(each.getId()) || silenceNanos(nowNanos, each) >= timeout))
+        .ifPresent(each -> replace(nowNanos, each, learner));
   }
 
   private long silenceTimeoutNanos(long nowNanos, ReplicaMember learner) {
@@ -193,7 +193,17 @@
     return isSuccessor ? timeouts.successorNanos() : timeouts.spareNanos();
   }
 
+  /**
+   * Replaces a voter. One that replies is removed only once the learner votes. One that is gone is
+   * removed first: as an additional voter, the learner would have to stay for there to be a
+   * majority, and nothing is lost by having one voter less that is gone.
+   */
   private void replace(long nowNanos, ReplicaMember voter, ReplicaMember learner) {
+    if (!isResponsive(nowNanos, voter)) {
+      LOG.info("voter-gone", "voter", voter.getId(), "learner", learner.getId());
+      coordinator.removeVoter(nowNanos, voter.getId());
+      return;
+    }
     long silentMs = silenceNanos(nowNanos, voter) / NANOS_PER_MS;
     long joinedMsAgo = (nowNanos - joinedNanos(nowNanos, learner)) / NANOS_PER_MS;
     coordinator.replace(
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/VoterReplacementTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/VoterReplacementTest.java
@@ -98,6 +98,21 @@
         CATCH_UP_MS - START_MS, () -> group.votersAre(addresses(SECOND_SUCCESSOR, first, second)));
   }
 
+  @Test
+  void successorThatIsLostAsItBecomesVoterLeavesMajority() throws IOException {
+    group.stop(follower(0));
+    group.stop(follower(0));
+    group.run(SUCCESSOR_DELAY_MS);
+    startSuccessor(SUCCESSOR);
+    group.await(
+        CATCH_UP_MS - START_MS,
+        () -> !group.voters().isEmpty() && group.voters().contains(group.id(SUCCESSOR)));
+    group.stop(SUCCESSOR);
+
+    group.run(CATCH_UP_MS);
+    assertThat(group.leader()).isPresent();
+  }
+
   @Test
   void replicaThatLostItsDiskVotesAgainInTime() throws IOException {
     int lost = follower(0);
@@ -161,7 +176,7 @@
     group.wake(frozen);
     group.run(10 * CATCH_UP_MS);
     assertThat(group.votersAre(addresses(SUCCESSOR, frozen))).isTrue();
-    // The spare joins the voters, then the frozen one leaves them.
+    // The frozen one leaves the voters, then the spare joins them.
     assertThat(group.voterChanges()).isEqualTo(2);
   }
 
