Pulses are sent on established connections only

With a short contact time the first pulse was due while the connection was still being opened; its failure closed the connection. Found by reading.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaConnections.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaConnections.java
@@ -130,7 +130,9 @@
 
   /** Sends due pulses, and closes the connections on which nothing arrives any more. */
   public void tick(long nowNanos) {
-    connections.forEach(each -> LinkMonitor.tickIfMonitored(each, nowNanos));
+    connections.stream()
+        .filter(Channel::isActive)
+        .forEach(each -> LinkMonitor.tickIfMonitored(each, nowNanos));
   }
 
   private void connect(Endpoint address) {
