A connection that breaks while a hello is sent does not end the replica

Cause: announce() iterated over outboundByAddress. A write that fails closes its channel at once, and the close listener removes the entry, so that the iteration threw ConcurrentModificationException; the replica's timer stopped (replica-failed, 'replica timer stopped after an unexpected exception') and the process ended.

A replica announces itself while it has no log, when it joins and when it leaves.

ReplicaAnnouncementTest failed with that exception before.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaConnections.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaConnections.java
@@ -172,7 +172,9 @@
 
   /** Sends this replica's hello again to every replica to which a connection is open. */
   public void announce() {
-    outboundByAddress.values().forEach(each -> each.channel().ifPresent(this::sendHello));
+    // A failed write closes its channel at once, which removes its connection from the map.
+    List.copyOf(outboundByAddress.values())
+        .forEach(each -> each.channel().ifPresent(this::sendHello));
   }
 
   /**
