--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/replica/net/ReplicaAnnouncementTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/replica/net/ReplicaAnnouncementTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.waxwingbeam.control.LinkLiveness;
 import org.waxwingbeam.settings.Endpoint;
 import org.waxwingbeam.wire.replica.ReplicaHello;
 import org.waxwingbeam.wire.replica.ReplicaMember;
@@ -65,6 +66,7 @@
                 group,
                 new Endpoint("127.0.0.1", 0),
                 "token",
+                LinkLiveness.Timings.ofContact(3_000),
                 () -> hello,
                 each -> {},
                 message -> {});
