--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/FaultSeriesTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/FaultSeriesTest.java
@@ -58,4 +58,10 @@
   void voterThatWasReplacedDuringCutFillsFreePlaceInTime(long seed) {
     assertThat(failure(seed, CoreFaults.Limit.TOLERANCE)).isEmpty();
   }
+
+  @ParameterizedTest
+  @ValueSource(longs = {253})
+  void voterThatRestartedDuringCutIsNotTakenForLeaving(long seed) {
+    assertThat(failure(seed, CoreFaults.Limit.TWO_DISKS)).isEmpty();
+  }
 }
