--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/CoreGroup.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/CoreGroup.java
@@ -243,7 +243,8 @@
         .map(CoreProcess::replica)
         .map(
             each ->
-                "%s well %s %s term %d last %d commit %d leader %s suspended %s voters %s learners %s"
+                "%s well %s %s term %d applied %d commit %d leader %s suspended %s"
+                    .concat(" voters %s learners %s")
                     .formatted(
                         each.id(),
                         machine.isWell(),
--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/SimulatedConnections.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/SimulatedConnections.java
@@ -135,10 +135,10 @@
   }
 
   private void sendHello(SimulatedLink.End end) {
-    send(end, ReplicaFrame.newBuilder().setHello(ownHello.get()).build());
+    write(end, ReplicaFrame.newBuilder().setHello(ownHello.get()).build());
   }
 
-  private void send(SimulatedLink.End end, ReplicaFrame frame) {
+  private void write(SimulatedLink.End end, ReplicaFrame frame) {
     end.send(nowMs + sendDelayMs + network.latencyMs(), frame);
   }
 
@@ -149,7 +149,7 @@
   void send(ReplicaMessage message) {
     Optional.ofNullable(endById.get(message.getTo()))
         .filter(end -> !network.losesMessage())
-        .ifPresent(end -> send(end, ReplicaFrame.newBuilder().setMessage(message).build()));
+        .ifPresent(end -> write(end, ReplicaFrame.newBuilder().setMessage(message).build()));
   }
 
   boolean isLinked(String id) {
