--- a/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/FaultSeriesTest.java
+++ b/waxwingbeam-tools/src/test/java/org/waxwingbeam/tools/testing/replica/FaultSeriesTest.java
@@ -54,7 +54,7 @@
   }
 
   @ParameterizedTest
-  @ValueSource(longs = {201})
+  @ValueSource(longs = {201, 1184})
   void voterThatWasReplacedDuringCutFillsFreePlaceInTime(long seed) {
     assertThat(failure(seed, CoreFaults.Limit.TOLERANCE)).isEmpty();
   }
