Votes that arrive during the next pre-vote count

Callers saw a core without a leader for as long as its disks or links were slow: all replicas run, answer, hold the same state and call elections.

Cause: a candidate starts its next pre-vote 150 to 350 ms after it has asked for votes. If its own sync, the way and the voter's sync take longer, the votes come while a pre-vote is under way, and were dropped, each time. A vote is for a term, not for a round.

Why it works: the votes of the current term are kept until the campaign ends: with a higher term, another leader or a resignation. No replica grants two votes in one term, so that a majority is still one of a kind. Found by the review of the trace.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Replica.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/Replica.java
@@ -289,6 +289,7 @@
     role = ReplicaRole.FOLLOWER;
     leaderId = leader;
     leaderState = Optional.empty();
+    election.abandon();
     proposals.abandon();
     confirmations.deny();
   }
@@ -306,7 +307,7 @@
     if (role != ReplicaRole.CANDIDATE || !election.countVote(message)) {
       return;
     }
-    if (election.isPreVote()) {
+    if (message.getVoteReply().getPreVote()) {
       startElection(nowNanos);
     } else {
       becomeLeader(nowNanos);
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaElection.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/ReplicaElection.java
@@ -16,6 +16,7 @@
   private final Consumer<ReplicaMessage.Builder> outgoing;
   private Optional<VoteRound> previousRound = Optional.empty();
   private VoteRound round;
+  private Optional<VoteRound> election = Optional.empty();
 
   ReplicaElection(String id, DurableLog durableLog, Consumer<ReplicaMessage.Builder> outgoing) {
     this.id = id;
@@ -36,6 +37,9 @@
   boolean startRound(long newTerm, boolean asPreVote) {
     previousRound = Optional.of(round).filter(each -> each.term() > 0);
     round = new VoteRound(id, newTerm, asPreVote);
+    if (!asPreVote) {
+      election = Optional.of(round);
+    }
     VoteRequest.Builder request =
         VoteRequest.newBuilder()
             .setPreVote(asPreVote)
@@ -45,16 +49,16 @@
         .map(ReplicaMember::getId)
         .filter(voter -> !voter.equals(id))
         .forEach(voter -> outgoing.accept(message(voter, newTerm).setVoteRequest(request)));
-    return hasMajority();
+    return hasMajority(round);
   }
 
-  private static ReplicaMessage.Builder message(String to, long term) {
-    return ReplicaMessage.newBuilder().setTo(to).setTerm(term);
+  /** Ends the campaign: votes that arrive later do not count. */
+  void abandon() {
+    election = Optional.empty();
   }
 
-  /** Returns whether the current round is a pre-vote. */
-  boolean isPreVote() {
-    return round.isPreVote();
+  private static ReplicaMessage.Builder message(String to, long term) {
+    return ReplicaMessage.newBuilder().setTo(to).setTerm(term);
   }
 
   /**
@@ -76,24 +80,30 @@
   }
 
   /**
-   * Counts a vote reply if it belongs to the current round.
+   * Counts a vote reply if it belongs to the current pre-vote, or to the election of the current
+   * term. Slow disks and links may bring a vote after the next pre-vote has started.
    *
    * @return whether the reply completes a majority
    */
   boolean countVote(ReplicaMessage message) {
+    Optional<VoteRound> counted = roundOf(message).filter(each -> each.isGranted(message));
+    counted.ifPresent(each -> each.recordGrant(message.getFrom()));
+    return counted.filter(this::hasMajority).isPresent();
+  }
+
+  private Optional<VoteRound> roundOf(ReplicaMessage message) {
     long term = durableLog.term();
-    boolean current = round.isPreVote() ? round.term() == term + 1 : round.term() == term;
-    boolean valid = current && round.isGranted(message);
-    if (valid) {
-      round.recordGrant(message.getFrom());
-    }
-    return valid && hasMajority();
+    return message.getVoteReply().getPreVote()
+        ? Optional.of(round).filter(each -> each.isPreVote() && each.term() == term + 1)
+        : election.filter(each -> each.term() == term);
   }
 
-  private boolean hasMajority() {
+  private boolean hasMajority(VoteRound counted) {
     Membership membership = log.membership();
     long votes =
-        membership.getVotersList().stream().filter(voter -> round.hasGrant(voter.getId())).count();
+        membership.getVotersList().stream()
+            .filter(voter -> counted.hasGrant(voter.getId()))
+            .count();
     return votes >= Memberships.majority(membership);
   }
 
