Connections between replicas: a second address takes over, failures are logged once a second

A replica with two addresses (a seed's name and the one that it reports) is connected twice. When the connection that was used ended, nothing was sent on the other: messages were dropped until it ended as well. A message whose handling fails came with each new connection, and so did its log line.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaConnections.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/replica/net/ReplicaConnections.java
@@ -51,6 +51,10 @@
  */
 public final class ReplicaConnections implements ReplicaLinks, AutoCloseable {
   private static final int CONNECT_TIMEOUT_MS = 500;
+
+  /** Minimum time between two log lines on failures of connections. */
+  private static final long FAILURE_LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private static final EventLog LOG = new EventLog(ReplicaConnections.class);
 
   private final EventLoopGroup group;
@@ -64,6 +68,8 @@
   private final Map<String, OutboundConnection> outboundByAddress = new TreeMap<>();
   private final Map<String, Channel> channelById = new HashMap<>();
   private final Map<Channel, String> idByChannel = new HashMap<>();
+  private long nextFailureLogNanos = System.nanoTime();
+  private long failuresLeftOut;
   private long linksLost;
   private long messagesFailed;
   private Optional<HandlerFailure> lastFailure = Optional.empty();
@@ -160,11 +166,26 @@
 
   private void removeConnection(Endpoint address, Channel channel) {
     outboundByAddress.remove(address.toString());
-    channelById.values().removeIf(channel::equals);
+    List<String> ids =
+        channelById.entrySet().stream()
+            .filter(each -> each.getValue().equals(channel))
+            .map(Map.Entry::getKey)
+            .toList();
+    channelById.keySet().removeAll(ids);
+    ids.forEach(this::useOtherConnection);
     linksLost++;
     LOG.info("replica-link-lost", "at", address);
   }
 
+  /** Sends to a replica on another connection, if one is open at another of its addresses. */
+  private void useOtherConnection(String id) {
+    outboundByAddress.values().stream()
+        .flatMap(each -> each.channel().stream())
+        .filter(each -> id.equals(idByChannel.get(each)))
+        .findFirst()
+        .ifPresent(each -> channelById.put(id, each));
+  }
+
   private void sendHello(Channel channel) {
     ReplicaHello hello = ownHello.get().toBuilder().setToken(token).build();
     Channels.send(channel, ReplicaFrame.newBuilder().setHello(hello).build());
@@ -241,6 +262,24 @@
     connections.close().syncUninterruptibly();
   }
 
+  /** Logs one failure a second: a message that fails again and again comes with each connection. */
+  private void logFailure(long nowNanos, Channel channel, Throwable cause) {
+    if (nowNanos - nextFailureLogNanos < 0) {
+      failuresLeftOut++;
+      return;
+    }
+    LOG.warn(
+        "replica-link-failed",
+        "remote",
+        channel.remoteAddress(),
+        "reason",
+        cause,
+        "left_out",
+        failuresLeftOut);
+    nextFailureLogNanos = nowNanos + FAILURE_LOG_INTERVAL_NANOS;
+    failuresLeftOut = 0;
+  }
+
   private final class Initializer extends ChannelInitializer<SocketChannel> {
     private final LinkLiveness.Side side;
 
@@ -307,12 +346,12 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      long now = System.nanoTime();
       if (!(cause instanceof IOException)) {
         messagesFailed++;
-        lastFailure =
-            Optional.of(new HandlerFailure(cause.getClass().getSimpleName(), System.nanoTime()));
+        lastFailure = Optional.of(new HandlerFailure(cause.getClass().getSimpleName(), now));
       }
-      LOG.warn("replica-link-failed", "remote", context.channel().remoteAddress(), "reason", cause);
+      logFailure(now, context.channel(), cause);
       Channels.close(context.channel());
     }
   }
--- a/waxwingbeam-library/src/test/java/org/waxwingbeam/replica/net/ReplicaConnectionsTest.java
+++ b/waxwingbeam-library/src/test/java/org/waxwingbeam/replica/net/ReplicaConnectionsTest.java
@@ -141,6 +141,24 @@
     }
   }
 
+  /** Guards against a replica to which nothing is sent although a connection is open. */
+  @Test
+  void secondAddressOfReplicaIsUsedWhenTheConnectionToTheFirstEnds() throws Exception {
+    CountDownLatch hellos = new CountDownLatch(2);
+    try (ReplicaConnections other = connections("other", new CountDownLatch(0));
+        ReplicaConnections own = connections("own", hellos)) {
+      keepConnected(other);
+      try (SilentRelay relay = new SilentRelay(address(other))) {
+        group.next().submit(() -> own.connectTo(Set.of(address(other)))).get();
+        assertThat(arrivesInTime(own, "other")).isTrue();
+        keepConnected(own, address(other), relay.address());
+        assertThat(hellos.await(5, TimeUnit.SECONDS)).isTrue();
+      }
+
+      assertThat(arrivesInTime(own, "other")).isTrue();
+    }
+  }
+
   /** Guards against waiting for ever for a hello from a peer that accepts and never responds. */
   @Test
   void connectionWithoutHelloIsTriedAgain() throws Exception {
