Contact times that leave no room for pulses are refused

Entry instances send a heartbeat every 500 ms, which must be well under half of the contact time. The server half of TcpKeepalive is not used any more.

--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/TcpKeepalive.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/control/net/TcpKeepalive.java
@@ -1,7 +1,6 @@
 package org.waxwingbeam.control.net;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioChannelOption;
 import jdk.net.ExtendedSocketOptions;
@@ -28,13 +27,4 @@
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_INTERVAL_S)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES);
   }
-
-  /** Enables TCP keep-alive on every connection that the bootstrap accepts. */
-  public static ServerBootstrap enable(ServerBootstrap bootstrap) {
-    return bootstrap
-        .childOption(ChannelOption.SO_KEEPALIVE, true)
-        .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_INTERVAL_S)
-        .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_INTERVAL_S)
-        .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES);
-  }
 }
--- a/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/SettingsTable.java
+++ b/waxwingbeam-library/src/main/java/org/waxwingbeam/settings/SettingsTable.java
@@ -113,9 +113,9 @@
       optional(
           "replicas",
           "contact",
-          new SettingType.Range(Quantity.DURATION, 600, 60_000),
+          new SettingType.Range(Quantity.DURATION, 2_000, 60_000),
           "3 s",
-          "Longest time after which a silent connection to another replica is replaced.");
+          "Longest time after which a silent connection to another process is replaced.");
   static final SettingKey ENTRIES =
       required("entries", "listen", ADDRESS, "Where entry instances connect.");
   static final SettingKey OPERATORS =
